--- /dev/null
+++ b/Makefile
@@ -0,0 +1,5 @@
+.PHONY: test
+test:
+	ruff check .
+	mypy
+	python -m pytest
--- /dev/null
+++ b/shelfhaven/__init__.py
@@ -0,0 +1,1 @@
+"""shelfhaven: overload control inside each server of a fleet."""
--- /dev/null
+++ b/shelfhaven/decision/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions and the interface through which they are fed."""
--- /dev/null
+++ b/shelfhaven/decision/control.py
@@ -0,0 +1,578 @@
+"""The decisions of one server; its settings, events and actions: shelfhaven/decision/interface.py.
+
+The ordinary path follows "Rate Management and the Kiss-o'-Death Packet": each caller's arrivals charge a
+counter that decays with time, and in overload callers above a ceiling are refused with advice on when to
+come back.  docs/design.md tells what was kept, changed and added, and when each exception acts.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import OrderedDict, deque
+
+from shelfhaven.decision import interface as i
+
+# Caller list
+CEILING = 8.0  # headways a caller may run ahead of its fair share: the source's longest burst
+LIST_SIZE = 600  # "a few hundred entries" in the source; far above the routers of one fleet
+GAP_GAIN = 0.125  # weight of a new sample in running means: about the last eight, as in TCP's RTT mean
+
+# Admission
+PERIOD = 0.1  # control interval, short against any wait aim worth having, long against its own cost
+WAIT_PART = 0.4  # of the time an aim leaves beside the run, how much may be spent waiting
+GAIN_P, GAIN_I = 0.3, 0.5  # share lost at once, and per second, for a wait one aim too long
+SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
+RANK_STEP = 1.0  # refusals owed that protect a caller from those with the next higher counter
+
+# Hold and run cap
+ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
+OPTIMISM = 0.6  # part of the expected run that must still fit; runs vary, so a near miss is tried
+IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
+
+# Guards
+MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
+CROWD_PART = 0.7  # of the crowd that kills, reached by choice
+CALLS_PER_CORE = 3.0  # requests waiting on calls for each core; they return to the cores together
+MARGIN_TICKS = 3  # answers go out this many ticks before they are due
+CALL_BACKOFF = 0.1  # pause before a call that is known not to have run is placed again
+STALL_RUNS = 4.0  # mean runs without any progress that count as standing still
+RATE_SPAN = 3.0  # seconds over which completions are averaged
+
+TICK_TOKEN = 1 << 40  # timer tokens: below it a request's due time, from it on its call's retry
+RETRY_TOKEN = 1 << 41
+
+
+class State:
+    """Where a request is."""
+
+    HELD, RUNNING, AT_CALL, CALLING, PAUSED, REUSING, DONE = range(7)
+
+
+class Request:
+    """One request that was read here."""
+
+    __slots__ = (
+        "aim_at", "answered", "arrived", "begun", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
+        "state", "waiters",
+    )  # fmt: skip
+
+    def __init__(self, event: i.Arrival, now: float, due: float, aim_at: float) -> None:
+        self.id, self.cls, self.hint, self.footprint = event.id, event.cls, event.hint, event.footprint_kb
+        self.read_at, self.arrived, self.due, self.aim_at = now, now - event.age, due, aim_at
+        self.state = State.HELD
+        self.answered = False
+        self.ran = False  # it, or the request that it repeats, has run or may have run
+        self.begun = now
+        self.waiters = 0
+
+
+class Caller:
+    """One entry of the caller list."""
+
+    __slots__ = ("counter", "gap", "last")
+
+    def __init__(self, now: float) -> None:
+        self.counter, self.gap, self.last = 0.0, 0.0, now
+
+
+class CallerList:
+    """Callers, most recently used first, with headway counters (leaky buckets)."""
+
+    def __init__(self) -> None:
+        self.entries: OrderedDict[tuple[int, ...], Caller] = OrderedDict()
+        self.rate = 0.0  # completions a second
+
+    def mah(self) -> float:
+        """Minimum average headway: the mean interval at which a fair share of completions comes."""
+        return len(self.entries) / self.rate if self.rate > 0 else 0.0
+
+    def arrive(self, key: tuple[int, ...], now: float) -> Caller:
+        """Note an arrival: decay the counter by the time passed and put the caller first."""
+        caller = self.entries.get(key)
+        if caller is None:
+            caller = self.entries[key] = Caller(now)
+            if len(self.entries) > LIST_SIZE:
+                self.entries.popitem(last=True)
+        else:
+            elapsed = now - caller.last
+            caller.counter = max(0.0, caller.counter - elapsed)
+            caller.gap += GAP_GAIN * (elapsed - caller.gap) if caller.gap else elapsed
+            caller.last = now
+        self.entries.move_to_end(key, last=False)
+        return caller
+
+    def over(self, caller: Caller) -> bool:
+        """Whether the caller runs further ahead of its share than the ceiling allows."""
+        return caller.counter > CEILING * self.mah()
+
+    def charge(self, caller: Caller) -> None:
+        """Charge one request; above the ceiling nothing more is owed, as in the source."""
+        if not self.over(caller):
+            caller.counter += self.mah()
+
+    def rank(self, caller: Caller) -> int:
+        """How many callers have a higher counter."""
+        return sum(1 for other in self.entries.values() if other.counter > caller.counter)
+
+
+class Controller:
+    """Decides what one server takes, runs and turns away."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        if settings.cores < 1 or settings.memory_kb <= 0:
+            raise ValueError("settings: a server needs at least one core and some memory")
+        if not settings.classes:
+            raise ValueError("settings: no classes of request")
+        self.settings = s = settings
+        self.seed = seed
+        self.out: list[i.Action] = []
+        self.callers = CallerList()
+        self.requests: dict[int, Request] = {}
+        self.hold: dict[int, Request] = {}
+        self.calls_waiting: deque[Request] = deque()
+        self.kept: dict[int, float] = {}  # table of keys: request, end of its entry
+        self.kept_ends: list[tuple[float, int]] = []
+        self.dropped: dict[int, float] = {}  # keyed requests turned away unrun, until their window ends
+        self.run_ratio = [1.0 if s.worth_by_work else 0.0] * len(s.classes)
+        self.mean_run = [c.aim * 0.25 for c in s.classes]
+        self.on_core = self.calls = 0
+        self.at_call = 0
+        self.memory = 0.0
+        self.cap = float(s.cores)
+        self.share, self.debt, self.error = 1.0, 0.0, 0.0
+        self.wait_sum, self.wait_count = 0.0, 0
+        self.completed = 0
+        self.progress_at = self.started_at = 0.0
+        self.stalled = False
+        self.published = -1.0
+        self.call_load = 0.0
+        self.drain_at = self.stop_at = math.inf
+
+    # Entry
+
+    def on_event(self, now: float, event: i.Event) -> list[i.Action]:
+        """Take one event and return the actions it calls for."""
+        self.out = []
+        match event:
+            case i.Arrival():
+                self._arrival(now, event)
+            case i.Timer():
+                self._timer(now, event)
+            case i.RunEnded():
+                self._run_ended(now, event)
+            case i.NeedsCall():
+                self._needs_call(now, event.id)
+            case i.CallEnded():
+                self._call_ended(now, event)
+            case i.Gone():
+                self._gone(event.id)
+            case i.Drain():
+                self._drain(now, event.left)
+            case i.Started():
+                self.started_at = self.progress_at = now
+                self.out += [i.SetTimer(PERIOD, TICK_TOKEN), i.Health(True)]
+        self._dispatch(now)
+        return self.out
+
+    # Admission
+
+    def _arrival(self, now: float, event: i.Arrival) -> None:
+        if event.id in self.requests or not 0 <= event.cls < len(self.settings.classes):
+            return
+        request = self._new_request(now, event)
+        caller = self.callers.arrive(self._caller_key(event), now)
+        keyed = self.settings.classes[event.cls].repeat is i.Repeat.KEYED
+        if keyed and event.same_as and event.same_as not in self.dropped:
+            self._repeat(request, event.same_as)
+        elif self._must_refuse(now, request):
+            self._refuse(request, caller, stay=False)
+        elif self._shed(caller):
+            self._refuse(request, caller, stay=True)
+        else:
+            self.callers.charge(caller)
+            self._hold(now, request, keyed)
+        if request.state != State.DONE:
+            self.out.append(i.SetTimer(max(0.0, request.due - now), request.id))
+
+    def _new_request(self, now: float, event: i.Arrival) -> Request:
+        cls = self.settings.classes[event.cls]
+        reached = now - max(0.0, event.age)
+        due = now + event.budget if event.budget > 0 else max(now, reached + cls.deadline)
+        margin = MARGIN_TICKS * self.settings.tick
+        aim = min(cls.deadline, cls.aim + cls.aim_stretch * event.hint)
+        due = max(now, min(due, self.stop_at) - margin)
+        request = Request(event, now, due, min(due, reached + aim))
+        self.requests[request.id] = request
+        self.memory += request.footprint
+        return request
+
+    def _caller_key(self, event: i.Arrival) -> tuple[int, ...]:
+        return (event.caller,)
+
+    def _must_refuse(self, now: float, request: Request) -> bool:
+        """What no admission share can let in: no time, no room, leaving, or standing still."""
+        s = self.settings
+        room = self.memory + s.key_kb <= MEMORY_PART * s.memory_kb
+        late = request.due <= now or request.arrived > self.drain_at + s.drain_grace
+        return late or not room or self.stalled
+
+    def _shed(self, caller: Caller) -> bool:
+        """The headway rule: below full admission, callers over the ceiling, then highest counters."""
+        if self.share >= 1:
+            self.debt = 0.0
+            return False
+        self.debt = min(self.debt + 1 - self.share, float(len(self.callers.entries)) + 1)
+        if self.callers.over(caller):
+            owed = 0.0
+        else:
+            owed = 1 + RANK_STEP * self.callers.rank(caller)
+        if self.debt < owed:
+            return False
+        self.debt -= 1
+        return True
+
+    def _advice(self, caller: Caller | None) -> float:
+        """Retry-after: the larger of the minimum average headway and the caller's own mean interval."""
+        if not self.settings.retry_after:
+            return 0.0
+        wish = max(self.callers.mah(), caller.gap if caller else 0.0)
+        return min(wish, self.settings.max_retry_after)
+
+    def _refuse(self, request: Request, caller: Caller | None, stay: bool) -> None:
+        self.out.append(i.Refuse(request.id, self._advice(caller), stay))
+        self._end(request)
+
+    def _hold(self, now: float, request: Request, keyed: bool) -> None:
+        """Hold a request; a keyed one is entered in the table at once, so that its repeats are linked."""
+        window = self.settings.classes[request.cls].window
+        if keyed and window > 0:
+            ttl = window + 2 * self.settings.tick
+            self.out.append(i.Keep(request.id, ttl))
+            self.kept[request.id] = now + ttl
+            heapq.heappush(self.kept_ends, (now + ttl, request.id))
+            self.memory += self.settings.key_kb
+        self.hold[request.id] = request
+
+    def _repeat(self, request: Request, original: int) -> None:
+        """A repeat of a keyed request is answered from the original: run once, it never runs again."""
+        request.state, request.ran = State.REUSING, True
+        first = self.requests.get(original)
+        if first:
+            first.waiters += 1
+        self.out.append(i.Reuse(request.id))
+
+    # Control loop
+
+    def _timer(self, now: float, event: i.Timer) -> None:
+        if event.token == TICK_TOKEN:
+            self._tick(now, dict(zip(self.settings.gauges, event.gauges, strict=False)))
+        elif event.token >= RETRY_TOKEN:
+            request = self.requests.get(event.token - RETRY_TOKEN)
+            if request and request.state == State.AT_CALL:
+                self._place(now, request)
+        else:
+            request = self.requests.get(event.token)
+            if request and not request.answered and now >= request.due - self.settings.tick:
+                self._give_up(request)
+
+    def _tick(self, now: float, gauges: dict[str, float]) -> None:
+        self.out.append(i.SetTimer(PERIOD, TICK_TOKEN))
+        blend = PERIOD / RATE_SPAN
+        self.callers.rate += blend * (self.completed / PERIOD - self.callers.rate)
+        self.completed = 0
+        self._expire_keys(now)
+        self._watch_progress(now)
+        self._adjust_share(now)
+        self._adjust_cap(gauges)
+        self.call_load += (self.calls - self.call_load) * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
+        self._place_waiting(now)
+        self._publish()
+
+    def _adjust_share(self, now: float) -> None:
+        """PI loop: hold waits, as parts of their aims, set the admitted share."""
+        for request in self.hold.values():
+            self._note_wait(now, request)
+        signal = self.wait_sum / self.wait_count if self.wait_count else 0.0
+        self.wait_sum, self.wait_count = 0.0, 0
+        error = min(signal, 3.0) - 1
+        self.share -= GAIN_P * (error - self.error) + GAIN_I * error * PERIOD
+        self.share = min(1.0, max(SHARE_MIN, self.share))
+        self.error = error
+
+    def _note_wait(self, now: float, request: Request) -> None:
+        cls = self.settings.classes[request.cls]
+        allowed = WAIT_PART * max(cls.aim - self._expected(request), 0.25 * cls.aim)
+        self.wait_sum += (now - request.read_at) / allowed
+        self.wait_count += 1
+
+    def _adjust_cap(self, gauges: dict[str, float]) -> None:
+        """Concurrency limit: up while cores idle and work waits, back to the cores once they are busy."""
+        busy = gauges.get("cpu_busy", 1.0)
+        if busy < IDLE_CORES and self.hold and self.on_core >= int(self.cap) and not self.stalled:
+            self.cap = min(self.cap * 1.1, self._crowd())
+        elif busy >= IDLE_CORES:
+            self.cap = max(float(self.settings.cores), self.cap * 0.95)
+
+    def _crowd(self) -> float:
+        """Running requests that a server as warm as this one survives, with a margin."""
+        s = self.settings
+        return max(1.0, CROWD_PART * s.cores * (1 + (s.fall_multiple - 1) * self.warmth))
+
+    @property
+    def warmth(self) -> float:
+        """Share of full speed, at the slowest warm-up that the settings allow."""
+        return self._warmth
+
+    _warmth = 1.0
+
+    def _watch_progress(self, now: float) -> None:
+        """Standing still: work runs and nothing moves, whatever the cause (hang, deep slowness)."""
+        s = self.settings
+        if s.cold and s.warm_up > 0:
+            self._warmth = min(1.0, s.cold_from + (1 - s.cold_from) * (now - self.started_at) / s.warm_up)
+        if not self.on_core:
+            self.progress_at = now
+        mean = max(self.mean_run)
+        stalled = now - self.progress_at > max(1.0, STALL_RUNS * mean / s.cores)
+        if stalled != self.stalled:
+            self.stalled = stalled
+            self.out.append(i.Health(not stalled))
+
+    def _publish(self) -> None:
+        s = self.settings
+        leaving = self.drain_at < math.inf
+        if s.advert is i.Advert.WINDOW:
+            waiting = self.callers.rate * WAIT_PART * min(c.aim for c in s.classes)
+            value = self.share * ((self.cap + self.calls + waiting) / max(1, s.callers) + 1)
+            value = 0.0 if leaving else 0.1 if self.stalled else value
+        elif s.advert is i.Advert.WEIGHT:
+            value = 0.0 if leaving else 0.1 if self.stalled else self.share
+        elif s.advert is i.Advert.LEVEL:
+            value = 1.0 if leaving or self.stalled else 1 - self.share
+        else:
+            return
+        if abs(value - self.published) > 0.05 * abs(self.published):
+            self.published = value
+            self.out.append(i.Publish(value))
+
+    # Hold
+
+    def _expected(self, request: Request) -> float:
+        """Expected time of a run here: by the hint, as hints have fared, or the mean of the class."""
+        ratio = self.run_ratio[request.cls]
+        if request.hint > 0 and ratio > 0:
+            return request.hint * ratio
+        return self.mean_run[request.cls]
+
+    def _index(self, now: float, request: Request) -> float:
+        """Apparent tardiness cost: worth for each unit of work, rising as the last start comes near."""
+        cls = self.settings.classes[request.cls]
+        run = max(self._expected(request), 1e-6)
+        worth = cls.worth if self.settings.worth_by_work else cls.worth / run
+        slack = request.aim_at - now - run
+        if now + OPTIMISM * run > request.aim_at:
+            return worth * cls.late_worth
+        return worth * math.exp(-max(0.0, slack) / (ATC_SPAN * max(self.mean_run)))
+
+    def _dispatch(self, now: float) -> None:
+        if not self.hold:
+            return
+        for request in list(self.hold.values()):
+            cls = self.settings.classes[request.cls]
+            limit = request.due if cls.late_worth > 0 else request.aim_at
+            if now >= limit or (self.on_core and now + OPTIMISM * self._expected(request) > limit):
+                self._give_up(request)
+        if not self.hold or not self._room():
+            return
+        order = sorted(self.hold.values(), key=lambda r: (-self._index(now, r), r.id))
+        for request in order:
+            if not self._room():
+                return
+            extra = (self.settings.run_factor - 1) * request.footprint
+            if self.memory + extra <= MEMORY_PART * self.settings.memory_kb:
+                self._run(now, request)
+
+    def _room(self) -> bool:
+        crowd = self._crowd()
+        return self.on_core < min(int(self.cap), crowd) and self.on_core + self.calls + self.at_call < max(
+            crowd, self.settings.cores + 1
+        )
+
+    def _run(self, now: float, request: Request) -> None:
+        self._note_wait(now, request)
+        self.hold.pop(request.id, None)
+        request.state, request.ran, request.begun = State.RUNNING, True, now
+        if not self.on_core:
+            self.progress_at = now
+        self.on_core += 1
+        self.memory += (self.settings.run_factor - 1) * request.footprint
+        self.out.append(i.Run(request.id))
+
+    def _give_up(self, request: Request) -> None:
+        """Answer at once what will not be served here, telling when to come back."""
+        if request.answered:
+            return
+        if not request.ran:
+            self._refuse(request, None, stay=True)
+            return
+        self.out.append(i.Fail(request.id))
+        request.answered = True
+        if request.state == State.REUSING:
+            self._end(request)
+        elif request.state == State.RUNNING:
+            self._halt(request)
+
+    def _halt(self, request: Request) -> None:
+        """Stop work that nobody waits for, where work can be stopped and no repeat depends on it."""
+        if self.settings.stop is not i.Stop.NONE and not request.waiters:
+            self.out.append(i.Halt(request.id))
+
+    # Runs and calls
+
+    def _run_ended(self, now: float, event: i.RunEnded) -> None:
+        request = self.requests.get(event.id)
+        if request is None:
+            return
+        self.progress_at = now
+        if event.outcome is i.Outcome.OK and request.state in (State.RUNNING, State.CALLING):
+            self._learn(request, event.spent)
+        if event.outcome is i.Outcome.CANCELLED and not request.answered:
+            return
+        if request.state != State.REUSING:
+            self.completed += 1
+        self._end(request)
+
+    def _learn(self, request: Request, spent: float) -> None:
+        cls = request.cls
+        self.mean_run[cls] += GAP_GAIN * (spent - self.mean_run[cls])
+        if request.hint > 0:
+            ratio = min(spent / request.hint, 100.0)
+            known = self.run_ratio[cls] or ratio
+            self.run_ratio[cls] = known + GAP_GAIN * (ratio - known)
+
+    def _needs_call(self, now: float, id_: int) -> None:
+        request = self.requests.get(id_)
+        if request is None or request.state != State.RUNNING:
+            return
+        self.progress_at = now
+        self.on_core -= 1
+        self.at_call += 1
+        request.state = State.AT_CALL
+        self._place(now, request)
+
+    def _place(self, now: float, request: Request) -> None:
+        """Place the call if the bound on calls in hand allows; the time left limits it."""
+        if request.answered:
+            return
+        left = request.due - now
+        if left <= 0:
+            self._give_up(request)
+        elif self._call_room():
+            request.state = State.CALLING
+            self.at_call -= 1
+            self.calls += 1
+            self.out.append(i.Call(request.id, left))
+        else:
+            self.calls_waiting.append(request)
+
+    def _call_room(self) -> bool:
+        s = self.settings
+        if s.below is i.Below.SHARED:
+            return self.calls < max(1.0, s.calls_out) and self.call_load <= MEMORY_PART * s.calls_out
+        return self.calls < CALLS_PER_CORE * s.cores
+
+    def _place_waiting(self, now: float) -> None:
+        for _ in range(len(self.calls_waiting)):
+            request = self.calls_waiting.popleft()
+            if request.state == State.AT_CALL:
+                self._place(now, request)
+
+    def _call_ended(self, now: float, event: i.CallEnded) -> None:
+        request = self.requests.get(event.id)
+        if request is None or request.state != State.CALLING:
+            return
+        self.calls -= 1
+        if event.outcome is i.Outcome.OK:
+            request.state = State.RUNNING
+            if not self.on_core:
+                self.progress_at = now
+            self.on_core += 1
+        else:
+            request.state = State.AT_CALL
+            self.at_call += 1
+            if not request.answered:
+                self._call_failed(now, request, event.outcome)
+        self._place_waiting(now)
+
+    def _call_failed(self, now: float, request: Request, outcome: i.Outcome) -> None:
+        """Leave the call out where that keeps worth; repeat only what is known not to have run."""
+        if self.settings.classes[request.cls].skip_worth > 0:
+            self.at_call -= 1
+            self.on_core += 1
+            request.state = State.RUNNING
+            self.out.append(i.Skip(request.id))
+        elif outcome in i.NEVER_RAN and request.due - now > 2 * CALL_BACKOFF:
+            self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
+        else:
+            self._give_up(request)
+
+    # Ends
+
+    def _gone(self, id_: int) -> None:
+        request = self.requests.get(id_)
+        if request is None:
+            return
+        request.answered = True
+        if request.state in (State.HELD, State.REUSING, State.PAUSED):
+            self._end(request)
+        elif request.state == State.RUNNING:
+            self._halt(request)
+
+    def _end(self, request: Request) -> None:
+        """Forget a request; the table keeps the entry of a keyed one that ran."""
+        if request.state in (State.RUNNING, State.AT_CALL, State.CALLING, State.PAUSED):
+            self.memory -= self.settings.run_factor * request.footprint
+        elif request.state != State.DONE:
+            self.memory -= request.footprint
+        if request.state == State.RUNNING:
+            self.on_core -= 1
+        elif request.state == State.AT_CALL:
+            self.at_call -= 1
+        elif request.state == State.CALLING:
+            self.calls -= 1
+        if not request.ran and request.id in self.kept:
+            self.out.append(i.Forget(request.id))
+            self._drop_key(request.id)
+        cls = self.settings.classes[request.cls]
+        if not request.ran and cls.repeat is i.Repeat.KEYED:
+            end = request.read_at + cls.window
+            self.dropped[request.id] = end
+            heapq.heappush(self.kept_ends, (end, request.id))
+        request.state = State.DONE
+        request.answered = True
+        self.hold.pop(request.id, None)
+        self.requests.pop(request.id, None)
+
+    def _drop_key(self, id_: int) -> None:
+        if self.kept.pop(id_, None) is not None:
+            self.memory -= self.settings.key_kb
+
+    def _expire_keys(self, now: float) -> None:
+        while self.kept_ends and self.kept_ends[0][0] <= now:
+            end, id_ = heapq.heappop(self.kept_ends)
+            if self.kept.get(id_, math.inf) <= end:
+                self._drop_key(id_)
+            self.dropped.pop(id_, None)
+
+    def _drain(self, now: float, left: float) -> None:
+        """Leave: run nothing that comes after the grace and answer everything before the stop."""
+        self.drain_at, self.stop_at = now, now + max(0.0, left)
+        margin = MARGIN_TICKS * self.settings.tick
+        for request in self.requests.values():
+            if request.due > self.stop_at - margin:
+                request.due = self.stop_at - margin
+                request.aim_at = min(request.aim_at, request.due)
+                self.out.append(i.SetTimer(max(0.0, request.due - now), request.id))
+        self.out.append(i.Health(False))
+        self._publish()
--- /dev/null
+++ b/shelfhaven/drill/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for the bench wire."""
