Give up on estimates only after waiting; stall needs all cores taken

Change: a request that finds room is run; hints are scaled by a ratio of means; standing still takes all cores in use and no progress for 1.5 mean runs (guards against hangs and deep slowness of any cause; harm: a server whose runs are all long for once refuses for a moment).

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -36,7 +36,8 @@
 CALLS_PER_CORE = 3.0  # requests waiting on calls for each core; they return to the cores together
 MARGIN_TICKS = 3  # answers go out this many ticks before they are due
 CALL_BACKOFF = 0.1  # pause before a call that is known not to have run is placed again
-STALL_RUNS = 4.0  # mean runs without any progress that count as standing still
+STALL_RUNS = 1.5  # mean runs with all cores taken and no progress that count as standing still; with six
+STALL_MIN = 0.5  # independent runs chance reaches 1.5 once in 8,000 times. At least this long: brief pauses pass
 RATE_SPAN = 3.0  # seconds over which completions are averaged
 
 TICK_TOKEN = 1 << 40  # timer tokens: below it a request's due time, from it on its call's retry
@@ -134,8 +135,9 @@
         self.kept: dict[int, float] = {}  # table of keys: request, end of its entry
         self.kept_ends: list[tuple[float, int]] = []
         self.dropped: dict[int, float] = {}  # keyed requests turned away unrun, until their window ends
-        self.run_ratio = [1.0 if s.worth_by_work else 0.0] * len(s.classes)
         self.mean_run = [c.aim * 0.25 for c in s.classes]
+        self.mean_hint = [0.0 for _ in s.classes]  # of the runs in mean_run that carried a hint
+        self.hinted_run = [0.0 for _ in s.classes]
         self.on_core = self.calls = 0
         self.at_call = 0
         self.memory = 0.0
@@ -143,9 +145,10 @@
         self.share, self.debt, self.error = 1.0, 0.0, 0.0
         self.wait_sum, self.wait_count = 0.0, 0
         self.completed = 0
-        self.progress_at = self.started_at = 0.0
+        self.progress_at = self.started_at = self.full_since = 0.0
         self.stalled = False
         self.published = -1.0
+        self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
         self.drain_at = self.stop_at = math.inf
 
@@ -319,22 +322,15 @@
         s = self.settings
         return max(1.0, CROWD_PART * s.cores * (1 + (s.fall_multiple - 1) * self.warmth))
 
-    @property
-    def warmth(self) -> float:
-        """Share of full speed, at the slowest warm-up that the settings allow."""
-        return self._warmth
-
-    _warmth = 1.0
-
     def _watch_progress(self, now: float) -> None:
         """Standing still: work runs and nothing moves, whatever the cause (hang, deep slowness)."""
         s = self.settings
         if s.cold and s.warm_up > 0:
-            self._warmth = min(1.0, s.cold_from + (1 - s.cold_from) * (now - self.started_at) / s.warm_up)
-        if not self.on_core:
-            self.progress_at = now
-        mean = max(self.mean_run)
-        stalled = now - self.progress_at > max(1.0, STALL_RUNS * mean / s.cores)
+            self.warmth = min(1.0, s.cold_from + (1 - s.cold_from) * (now - self.started_at) / s.warm_up)
+        if self.on_core < s.cores:  # fewer runs may all be long ones; that is no sign
+            self.full_since = now
+        quiet = now - max(self.progress_at, self.full_since)
+        stalled = quiet > max(STALL_MIN, STALL_RUNS * max(self.mean_run))
         if stalled != self.stalled:
             self.stalled = stalled
             self.out.append(i.Health(not stalled))
@@ -360,10 +356,11 @@
 
     def _expected(self, request: Request) -> float:
         """Expected time of a run here: by the hint, as hints have fared, or the mean of the class."""
-        ratio = self.run_ratio[request.cls]
-        if request.hint > 0 and ratio > 0:
-            return request.hint * ratio
-        return self.mean_run[request.cls]
+        cls = request.cls
+        if request.hint > 0:
+            known = self.mean_hint[cls]
+            return request.hint * (self.hinted_run[cls] / known if known > 0 else 1.0)
+        return self.mean_run[cls]
 
     def _index(self, now: float, request: Request) -> float:
         """Apparent tardiness cost: worth for each unit of work, rising as the last start comes near."""
@@ -381,7 +378,8 @@
         for request in list(self.hold.values()):
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
-            if now >= limit or (self.on_core and now + OPTIMISM * self._expected(request) > limit):
+            waited = now > request.read_at  # expectations are rough: what finds a free core is tried
+            if now >= limit or (waited and now + OPTIMISM * self._expected(request) > limit):
                 self._give_up(request)
         if not self.hold or not self._room():
             return
@@ -403,8 +401,6 @@
         self._note_wait(now, request)
         self.hold.pop(request.id, None)
         request.state, request.ran, request.begun = State.RUNNING, True, now
-        if not self.on_core:
-            self.progress_at = now
         self.on_core += 1
         self.memory += (self.settings.run_factor - 1) * request.footprint
         self.out.append(i.Run(request.id))
@@ -447,9 +443,9 @@
         cls = request.cls
         self.mean_run[cls] += GAP_GAIN * (spent - self.mean_run[cls])
         if request.hint > 0:
-            ratio = min(spent / request.hint, 100.0)
-            known = self.run_ratio[cls] or ratio
-            self.run_ratio[cls] = known + GAP_GAIN * (ratio - known)
+            # means apart, not a mean of ratios: a rough hint near zero would rule that
+            self.mean_hint[cls] += GAP_GAIN * (request.hint - self.mean_hint[cls])
+            self.hinted_run[cls] += GAP_GAIN * (spent - self.hinted_run[cls])
 
     def _needs_call(self, now: float, id_: int) -> None:
         request = self.requests.get(id_)
@@ -495,8 +491,6 @@
         self.calls -= 1
         if event.outcome is i.Outcome.OK:
             request.state = State.RUNNING
-            if not self.on_core:
-                self.progress_at = now
             self.on_core += 1
         else:
             request.state = State.AT_CALL
