Go out of service while requests lie unread at a low pace

Change: health is bad, and the published window small, while the mean time unread passes 0.4 of the shortest aim and the pace of reads and runs is under half of the best seen. Should also cover throttled or stolen cores. Harm: a server whose best pace was a burst of cheap work.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -37,7 +37,10 @@
 MARGIN_TICKS = 3  # answers go out this many ticks before they are due
 CALL_BACKOFF = 0.1  # pause before a call that is known not to have run is placed again
 STALL_RUNS = 1.5  # mean runs with all cores taken and no progress that count as standing still; with six
-STALL_MIN = 0.5  # independent runs chance reaches 1.5 once in 8,000 times. At least this long: brief pauses pass
+STALL_MIN = 0.5  # independent runs chance gets there once in 8,000 times; at least this long, so pauses pass
+LAG_SICK, LAG_WELL = 0.4, 0.15  # of the shortest aim, spent unread: out of service above, back below
+SLOW_PART = 0.5  # of the best pace seen here (reads and runs a second); floods keep it up, slow cores cannot
+BEST_SPAN = 60.0  # seconds over which the best pace is forgotten, far longer than a spell of slowness
 RATE_SPAN = 3.0  # seconds over which completions are averaged
 
 TICK_TOKEN = 1 << 40  # timer tokens: below it a request's due time, from it on its call's retry
@@ -144,9 +147,12 @@
         self.cap = float(s.cores)
         self.share, self.debt, self.error = 1.0, 0.0, 0.0
         self.wait_sum, self.wait_count = 0.0, 0
-        self.completed = 0
+        self.completed = self.moved = 0
+        self.pace = self.best_pace = 0.0  # reads and ends of runs a second
         self.progress_at = self.started_at = self.full_since = 0.0
-        self.stalled = False
+        self.stalled = self.sick = False
+        self.lag = 0.0  # mean time that requests spent unread
+        self.tight = min(c.aim for c in s.classes)
         self.published = -1.0
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
@@ -185,6 +191,8 @@
             return
         request = self._new_request(now, event)
         caller = self.callers.arrive(self._caller_key(event), now)
+        self.lag += GAP_GAIN * (max(0.0, event.age) - self.lag)
+        self.moved += 1
         keyed = self.settings.classes[event.cls].repeat is i.Repeat.KEYED
         if keyed and event.same_as and event.same_as not in self.dropped:
             self._repeat(request, event.same_as)
@@ -218,7 +226,8 @@
         s = self.settings
         room = self.memory + s.key_kb <= MEMORY_PART * s.memory_kb
         late = request.due <= now or request.arrived > self.drain_at + s.drain_grace
-        return late or not room or self.stalled
+        slow = self.sick and now + self._expected(request) > request.aim_at
+        return late or not room or self.stalled or slow
 
     def _shed(self, caller: Caller) -> bool:
         """The headway rule: below full admission, callers over the ceiling, then highest counters."""
@@ -323,29 +332,41 @@
         return max(1.0, CROWD_PART * s.cores * (1 + (s.fall_multiple - 1) * self.warmth))
 
     def _watch_progress(self, now: float) -> None:
-        """Standing still: work runs and nothing moves, whatever the cause (hang, deep slowness)."""
+        """Signs of a sick server, whatever the cause: nothing moves, or requests lie unread at a low pace.
+
+        Guards against hangs and slow, throttled or stolen cores.  A flood also leaves requests unread,
+        but at a high pace: going out of service would only pass it on, so that is no sign.  It can do
+        harm where all are slow at once; so what can still make its aim is taken, and health returns.
+        """
         s = self.settings
         if s.cold and s.warm_up > 0:
             self.warmth = min(1.0, s.cold_from + (1 - s.cold_from) * (now - self.started_at) / s.warm_up)
         if self.on_core < s.cores:  # fewer runs may all be long ones; that is no sign
             self.full_since = now
         quiet = now - max(self.progress_at, self.full_since)
-        stalled = quiet > max(STALL_MIN, STALL_RUNS * max(self.mean_run))
-        if stalled != self.stalled:
-            self.stalled = stalled
-            self.out.append(i.Health(not stalled))
+        self.stalled = quiet > max(STALL_MIN, STALL_RUNS * max(self.mean_run))
+        if not self.hold and self.on_core < s.cores:  # no news while nothing comes: forget slowly, then try
+            self.lag -= self.lag * PERIOD / RATE_SPAN
+        self.pace += PERIOD * (self.moved / PERIOD - self.pace)
+        self.best_pace = max(self.pace, self.best_pace * (1 - PERIOD / BEST_SPAN))
+        self.moved = 0
+        bound = (LAG_WELL if self.sick else LAG_SICK) * self.tight
+        sick = self.stalled or (self.lag > bound and self.pace < SLOW_PART * self.best_pace)
+        if sick != self.sick:
+            self.sick = sick
+            self.out.append(i.Health(not sick and self.drain_at == math.inf))
 
     def _publish(self) -> None:
         s = self.settings
         leaving = self.drain_at < math.inf
         if s.advert is i.Advert.WINDOW:
-            waiting = self.callers.rate * WAIT_PART * min(c.aim for c in s.classes)
+            waiting = self.callers.rate * WAIT_PART * self.tight
             value = self.share * ((self.cap + self.calls + waiting) / max(1, s.callers) + 1)
-            value = 0.0 if leaving else 0.1 if self.stalled else value
+            value = 0.0 if leaving else 0.1 if self.sick else value
         elif s.advert is i.Advert.WEIGHT:
-            value = 0.0 if leaving else 0.1 if self.stalled else self.share
+            value = 0.0 if leaving else 0.1 if self.sick else self.share
         elif s.advert is i.Advert.LEVEL:
-            value = 1.0 if leaving or self.stalled else 1 - self.share
+            value = 1.0 if leaving or self.sick else 1 - self.share
         else:
             return
         if abs(value - self.published) > 0.05 * abs(self.published):
@@ -437,6 +458,7 @@
             return
         if request.state != State.REUSING:
             self.completed += 1
+            self.moved += 1
         self._end(request)
 
     def _learn(self, request: Request, spent: float) -> None:
