Window follows the heaviest caller while cores are spare, an even split when busy

Change: the window's part for a caller goes from even to the heaviest caller's part of arrivals as cores idle. Harm: a burst of the heaviest caller just after an idle second meets an open window.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -29,6 +29,7 @@
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
 OPTIMISM = 0.6  # part of the expected run that must still fit; runs vary, so a near miss is tried
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
+SPARE = 0.3  # idle part of the cores that gives the heaviest caller all that it needs
 
 # Guards
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
@@ -115,6 +116,11 @@
         if not self.over(caller):
             caller.counter += self.mah()
 
+    def heaviest(self, now: float) -> float:
+        """The largest caller's part of all arrivals; 1 while nothing is known."""
+        rates = [1 / max(c.gap, now - c.last, 1e-3) for c in self.entries.values() if c.gap]
+        return max(rates) / sum(rates) if rates else 1.0
+
     def rank(self, caller: Caller) -> int:
         """How many callers have a higher counter."""
         return sum(1 for other in self.entries.values() if other.counter > caller.counter)
@@ -154,6 +160,7 @@
         self.lag = 0.0  # mean time that requests spent unread
         self.tight = min(c.aim for c in s.classes)
         self.published = -1.0
+        self.idle = 0.0  # part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
         self.drain_at = self.stop_at = math.inf
@@ -299,7 +306,7 @@
         self._adjust_cap(gauges)
         self.call_load += (self.calls - self.call_load) * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
         self._place_waiting(now)
-        self._publish()
+        self._publish(now)
 
     def _adjust_share(self, now: float) -> None:
         """PI loop: hold waits, as parts of their aims, set the admitted share."""
@@ -321,6 +328,7 @@
     def _adjust_cap(self, gauges: dict[str, float]) -> None:
         """Concurrency limit: up while cores idle and work waits, back to the cores once they are busy."""
         busy = gauges.get("cpu_busy", 1.0)
+        self.idle = 1 - busy
         if busy < IDLE_CORES and self.hold and self.on_core >= int(self.cap) and not self.stalled:
             self.cap = min(self.cap * 1.1, self._crowd())
         elif busy >= IDLE_CORES:
@@ -356,12 +364,16 @@
             self.sick = sick
             self.out.append(i.Health(not sick and self.drain_at == math.inf))
 
-    def _publish(self) -> None:
+    def _publish(self, now: float) -> None:
+        """What callers may send.  With cores to spare the window is what the heaviest caller needs, as
+        light ones never fill theirs; as the cores fill up it closes to an even split."""
         s = self.settings
         leaving = self.drain_at < math.inf
         if s.advert is i.Advert.WINDOW:
             waiting = self.callers.rate * WAIT_PART * self.tight
-            value = self.share * ((self.cap + self.calls + waiting) / max(1, s.callers) + 1)
+            even = 1 / max(1, s.callers)
+            part = even + max(0.0, self.callers.heaviest(now) - even) * min(1.0, self.idle / SPARE)
+            value = self.share * ((self.cap + self.calls + waiting) * part + 1)
             value = 0.0 if leaving else 0.1 if self.sick else value
         elif s.advert is i.Advert.WEIGHT:
             value = 0.0 if leaving else 0.1 if self.sick else self.share
@@ -591,4 +603,4 @@
                 request.aim_at = min(request.aim_at, request.due)
                 self.out.append(i.SetTimer(max(0.0, request.due - now), request.id))
         self.out.append(i.Health(False))
-        self._publish()
+        self._publish(now)
