Tests of rules and of the ordinary path; window without a spare slot when busy

Window, cause: in overload every caller had one slot beyond its part, and unread requests piled up.

Tests found: a newcomer to a full caller list evicted itself; a drain without time left answers late; the crowd bound fell below the cores on a cold server; a repeat could overfill the memory. Numbers that are negative, infinite or not a number count as not told.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -48,6 +48,11 @@
 RETRY_TOKEN = 1 << 41
 
 
+def _sane(value: float) -> float:
+    """A duration or size as told: what is negative, infinite or not a number counts as not told."""
+    return value if 0 < value < math.inf else 0.0
+
+
 class State:
     """Where a request is."""
 
@@ -63,8 +68,9 @@
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, now: float, due: float, aim_at: float) -> None:
-        self.id, self.cls, self.hint, self.footprint = event.id, event.cls, event.hint, event.footprint_kb
-        self.read_at, self.arrived, self.due, self.aim_at = now, now - event.age, due, aim_at
+        self.id, self.cls = event.id, event.cls
+        self.hint, self.footprint = _sane(event.hint), _sane(event.footprint_kb)
+        self.read_at, self.arrived, self.due, self.aim_at = now, now - _sane(event.age), due, aim_at
         self.state = State.HELD
         self.answered = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
@@ -96,9 +102,9 @@
         """Note an arrival: decay the counter by the time passed and put the caller first."""
         caller = self.entries.get(key)
         if caller is None:
-            caller = self.entries[key] = Caller(now)
-            if len(self.entries) > LIST_SIZE:
+            if len(self.entries) >= LIST_SIZE:
                 self.entries.popitem(last=True)
+            caller = self.entries[key] = Caller(now)
         else:
             elapsed = now - caller.last
             caller.counter = max(0.0, caller.counter - elapsed)
@@ -194,11 +200,14 @@
     # Admission
 
     def _arrival(self, now: float, event: i.Arrival) -> None:
-        if event.id in self.requests or not 0 <= event.cls < len(self.settings.classes):
+        if event.id in self.requests:
+            return
+        if not 0 <= event.cls < len(self.settings.classes):  # an answer is owed all the same
+            self.out.append(i.Refuse(event.id))
             return
         request = self._new_request(now, event)
         caller = self.callers.arrive(self._caller_key(event), now)
-        self.lag += GAP_GAIN * (max(0.0, event.age) - self.lag)
+        self.lag += GAP_GAIN * (_sane(event.age) - self.lag)
         self.moved += 1
         keyed = self.settings.classes[event.cls].repeat is i.Repeat.KEYED
         if keyed and event.same_as and event.same_as not in self.dropped:
@@ -215,10 +224,10 @@
 
     def _new_request(self, now: float, event: i.Arrival) -> Request:
         cls = self.settings.classes[event.cls]
-        reached = now - max(0.0, event.age)
-        due = now + event.budget if event.budget > 0 else max(now, reached + cls.deadline)
+        reached, budget = now - _sane(event.age), _sane(event.budget)
+        due = now + budget if budget > 0 else max(now, reached + cls.deadline)
         margin = MARGIN_TICKS * self.settings.tick
-        aim = min(cls.deadline, cls.aim + cls.aim_stretch * event.hint)
+        aim = min(cls.deadline, cls.aim + cls.aim_stretch * _sane(event.hint))
         due = max(now, min(due, self.stop_at) - margin)
         request = Request(event, now, due, min(due, reached + aim))
         self.requests[request.id] = request
@@ -242,10 +251,7 @@
             self.debt = 0.0
             return False
         self.debt = min(self.debt + 1 - self.share, float(len(self.callers.entries)) + 1)
-        if self.callers.over(caller):
-            owed = 0.0
-        else:
-            owed = 1 + RANK_STEP * self.callers.rank(caller)
+        owed = 0.0 if self.callers.over(caller) else 1 + RANK_STEP * self.callers.rank(caller)
         if self.debt < owed:
             return False
         self.debt -= 1
@@ -276,6 +282,9 @@
     def _repeat(self, request: Request, original: int) -> None:
         """A repeat of a keyed request is answered from the original: run once, it never runs again."""
         request.state, request.ran = State.REUSING, True
+        if self.memory > MEMORY_PART * self.settings.memory_kb:
+            self._give_up(request)
+            return
         first = self.requests.get(original)
         if first:
             first.waiters += 1
@@ -337,7 +346,7 @@
     def _crowd(self) -> float:
         """Running requests that a server as warm as this one survives, with a margin."""
         s = self.settings
-        return max(1.0, CROWD_PART * s.cores * (1 + (s.fall_multiple - 1) * self.warmth))
+        return max(float(s.cores), CROWD_PART * s.cores * (1 + (s.fall_multiple - 1) * self.warmth))
 
     def _watch_progress(self, now: float) -> None:
         """Signs of a sick server, whatever the cause: nothing moves, or requests lie unread at a low pace.
@@ -372,8 +381,9 @@
         if s.advert is i.Advert.WINDOW:
             waiting = self.callers.rate * WAIT_PART * self.tight
             even = 1 / max(1, s.callers)
-            part = even + max(0.0, self.callers.heaviest(now) - even) * min(1.0, self.idle / SPARE)
-            value = self.share * ((self.cap + self.calls + waiting) * part + 1)
+            spare = min(1.0, self.idle / SPARE)
+            part = even + max(0.0, self.callers.heaviest(now) - even) * spare
+            value = self.share * ((self.cap + self.calls + waiting) * part + spare)
             value = 0.0 if leaving else 0.1 if self.sick else value
         elif s.advert is i.Advert.WEIGHT:
             value = 0.0 if leaving else 0.1 if self.sick else self.share
@@ -426,9 +436,8 @@
 
     def _room(self) -> bool:
         crowd = self._crowd()
-        return self.on_core < min(int(self.cap), crowd) and self.on_core + self.calls + self.at_call < max(
-            crowd, self.settings.cores + 1
-        )
+        in_hand = self.on_core + self.calls + self.at_call  # calls return to the cores together
+        return self.on_core < int(self.cap) and in_hand + 1 <= crowd
 
     def _run(self, now: float, request: Request) -> None:
         self._note_wait(now, request)
@@ -465,7 +474,7 @@
             return
         self.progress_at = now
         if event.outcome is i.Outcome.OK and request.state in (State.RUNNING, State.CALLING):
-            self._learn(request, event.spent)
+            self._learn(request, _sane(event.spent))
         if event.outcome is i.Outcome.CANCELLED and not request.answered:
             return
         if request.state != State.REUSING:
@@ -595,12 +604,14 @@
 
     def _drain(self, now: float, left: float) -> None:
         """Leave: run nothing that comes after the grace and answer everything before the stop."""
-        self.drain_at, self.stop_at = now, now + max(0.0, left)
+        self.drain_at, self.stop_at = now, now + _sane(left)
         margin = MARGIN_TICKS * self.settings.tick
-        for request in self.requests.values():
-            if request.due > self.stop_at - margin:
-                request.due = self.stop_at - margin
-                request.aim_at = min(request.aim_at, request.due)
-                self.out.append(i.SetTimer(max(0.0, request.due - now), request.id))
+        for request in list(self.requests.values()):
+            request.due = min(request.due, self.stop_at - margin)
+            request.aim_at = min(request.aim_at, request.due)
+            if request.due <= now:
+                self._give_up(request)
+            else:
+                self.out.append(i.SetTimer(request.due - now, request.id))
         self.out.append(i.Health(False))
         self._publish(now)
--- a/shelfhaven/drill/wire.py
+++ b/shelfhaven/drill/wire.py
@@ -49,7 +49,10 @@
                 start, size = next(values), next(values)
                 if tail + start + size > len(frame):
                     raise WireError(f"{self.name}.{name} points outside the tail")
-                fields[name] = frame[tail + start : tail + start + size].decode()
+                try:
+                    fields[name] = frame[tail + start : tail + start + size].decode()
+                except UnicodeDecodeError as error:
+                    raise WireError(f"{self.name}.{name} is not text") from error
             else:
                 fields[name] = next(values)
         return fields
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,373 @@
+"""The ordinary path and its exceptions, on event sequences worked out by hand."""
+
+from __future__ import annotations
+
+import pytest
+
+from shelfhaven.decision import control
+from shelfhaven.decision import interface as i
+from shelfhaven.decision.control import CallerList, Controller
+from tests.world import World
+
+LOOK = i.ClassSettings(1.0, 3.0)
+PATIENT = i.ClassSettings(60.0, 60.0)
+PAY = i.ClassSettings(1.0, 3.0, 2.0, 0.2, i.Repeat.KEYED, 5.0)
+
+
+def settings(**changes: object) -> i.Settings:
+    base: dict[str, object] = {
+        "cores": 2, "memory_kb": 10_000.0, "classes": (LOOK, PAY), "run_factor": 4.0, "key_kb": 5.0,
+        "callers": 2, "fall_multiple": 5.0, "tick": 0.001, "drain_grace": 1.0, "gauges": ("cpu_busy",),
+    }  # fmt: skip
+    return i.Settings(**{**base, **changes})  # type: ignore[arg-type]
+
+
+def of(actions: list[i.Action], kind: type) -> list[i.Action]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+# Caller list
+
+
+def test_the_list_is_most_recently_used_first_and_evicts_the_last(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control, "LIST_SIZE", 2)
+    callers = CallerList()
+    for now, key in enumerate([1, 2, 1, 3]):
+        callers.arrive((key,), float(now))
+    assert list(callers.entries) == [(3,), (1,)]
+
+
+def test_headway_is_listed_callers_over_completions() -> None:
+    callers = CallerList()
+    assert callers.mah() == 0.0
+    for key in range(3):
+        callers.arrive((key,), 0.0)
+    callers.rate = 6.0
+    assert callers.mah() == 0.5
+
+
+def test_counter_decays_with_time_not_below_zero_and_is_charged_one_headway() -> None:
+    callers = CallerList()
+    callers.rate = 2.0
+    caller = callers.arrive((1,), 0.0)  # one caller, two completions a second: MAH is 0.5
+    callers.charge(caller)
+    callers.charge(caller)
+    assert caller.counter == 1.0
+    callers.arrive((1,), 0.25)
+    assert caller.counter == 0.75
+    callers.arrive((1,), 9.0)
+    assert caller.counter == 0.0
+
+
+def test_above_eight_headways_a_caller_is_over_and_owes_no_more() -> None:
+    callers = CallerList()
+    callers.rate = 2.0
+    caller = callers.arrive((1,), 0.0)
+    for _ in range(8):
+        callers.charge(caller)
+    assert caller.counter == 4.0
+    assert not callers.over(caller)  # at the ceiling, not above it
+    callers.charge(caller)
+    assert callers.over(caller)
+    callers.charge(caller)
+    assert caller.counter == 4.5
+
+
+def test_heaviest_part_follows_arrival_rates() -> None:
+    callers = CallerList()
+    for n in range(40):
+        callers.arrive((1,), n * 0.1)
+        if n % 4 == 0:
+            callers.arrive((2,), n * 0.1)
+    assert callers.heaviest(3.9) == pytest.approx(0.8, abs=0.02)
+
+
+# Admission
+
+
+def overloaded(share: float, **changes: object) -> World:
+    world = World(settings(**changes))
+    world.controller.share = share
+    world.controller.callers.rate = 4.0
+    return world
+
+
+def test_at_full_admission_nobody_is_refused_however_heavy() -> None:
+    world = overloaded(1.0)
+    jobs = [world.arrive(0, 1) for _ in range(20)]
+    assert all(job.state in ("running", "held") for job in jobs)
+
+
+def test_below_full_admission_the_caller_over_its_ceiling_goes_first() -> None:
+    world = overloaded(1.0)
+    world.arrive(0, 2)  # two callers listed: MAH is 0.5 s, the ceiling 4 s
+    for _ in range(12):
+        world.arrive(0, 1)  # far over its ceiling, but admission is full
+    world.controller.share = 0.9
+    light = world.arrive(0, 2)
+    heavy = world.arrive(0, 1)
+    assert light.answers == 0
+    assert heavy.answers == 1
+
+
+def test_refusals_come_to_one_minus_the_share() -> None:
+    world = overloaded(0.75)
+    world.controller.callers.rate = 1000.0  # headways so short that no caller is over its ceiling
+    refused = 0
+    for n in range(200):
+        world.now += 0.1
+        job = world.arrive(0, n % 2)
+        refused += job.answers
+        for running in [j for j in world.jobs.values() if j.state == "running"]:
+            world.finish(running)
+    assert refused == pytest.approx(50, abs=3)
+
+
+def test_every_overload_refusal_advises_the_larger_of_headway_and_own_gap() -> None:
+    world = overloaded(0.05, classes=(PATIENT,))
+    refusals: list[i.Refuse] = []
+    for _ in range(20):
+        world.now += 0.4  # one caller every 0.4 s; MAH is 1 / 4 s
+        world.arrive(0, 1)
+        refusals = [a for a in world.log if isinstance(a, i.Refuse)]
+    assert refusals
+    assert refusals[-1].retry_after == pytest.approx(0.4)
+    world.controller.callers.rate = 2.0  # MAH is now 0.5 s, above the gap
+    before = len(refusals)
+    while len(refusals) == before:
+        world.now += 0.4
+        world.arrive(0, 1)
+        refusals = [a for a in world.log if isinstance(a, i.Refuse)]
+    assert refusals[-1].retry_after == pytest.approx(0.5)
+
+
+def test_advice_stays_within_what_callers_observe_and_is_left_out_where_not_relayed() -> None:
+    for allowed, expected in ((True, 0.3), (False, 0.0)):
+        world = overloaded(0.05, retry_after=allowed, max_retry_after=0.3, classes=(PATIENT,))
+        for _ in range(20):
+            world.now += 0.4
+            world.arrive(0, 1)
+        refusals = [a for a in world.log if isinstance(a, i.Refuse)]
+        assert refusals
+        assert {a.retry_after for a in refusals} == {expected}
+
+
+def test_long_waits_lower_the_share_and_an_empty_hold_restores_it() -> None:
+    world = World(settings())
+    jobs = [world.arrive(0, n % 2) for n in range(12)]
+    world.advance(0.7)
+    assert world.controller.share < 1.0
+    for job in jobs:
+        if job.state == "running":
+            world.finish(job)
+    world.advance(6.0)
+    world.settle()
+    assert world.controller.share == 1.0
+
+
+# Hold and run cap
+
+
+def test_no_more_run_than_cores_while_the_cores_are_busy() -> None:
+    world = World(settings())
+    for n in range(6):
+        world.arrive(0, n)
+    world.advance(0.3, cpu=1.0)
+    assert world.on_core() == 2
+
+
+def test_the_cap_grows_while_cores_idle_and_work_waits() -> None:
+    world = World(settings())
+    for n in range(6):
+        world.arrive(0, n)
+    for _ in range(9):
+        world.advance(0.05, cpu=0.3)
+        running = [j for j in world.jobs.values() if j.state == "running"]
+        world.finish(running[0])  # progress, so this is not standing still
+        world.arrive(0, 1)
+    assert world.controller.cap > 2.2
+
+
+def test_a_waiting_call_leaves_the_run_count() -> None:
+    world = World(settings(below=i.Below.TIER, classes=(i.ClassSettings(1.0, 3.0, calls=True),)))
+    first, second, third = (world.arrive(0, n) for n in range(3))
+    assert [first.state, second.state, third.state] == ["running", "running", "held"]
+    world.need_call(first)
+    assert first.state == "calling"
+    assert third.state == "running"
+
+
+def test_the_worthier_of_two_equal_requests_runs_first() -> None:
+    world = World(settings(worth_by_work=True))
+    running = [world.arrive(0, 1), world.arrive(0, 1)]
+    low = world.arrive(0, 1, hint=0.2)
+    high = world.arrive(1, 1, key=1, hint=0.2)
+    world.now += 0.05
+    world.finish(running[0])
+    assert high.state == "running"
+    assert low.state == "held"
+
+
+def test_what_cannot_make_its_aim_is_answered_at_once_with_advice() -> None:
+    world = World(settings())
+    world.controller.callers.rate = 4.0
+    busy = [world.arrive(0, 1), world.arrive(0, 1)]
+    late = world.arrive(0, 2)
+    world.now += 1.1  # past the aim of 1 s, long before the due time of 3 s
+    world.finish(busy[0])
+    assert late.answers == 1
+    refusal = next(a for a in world.log if isinstance(a, i.Refuse) and a.id == late.id)
+    assert refusal.retry_after > 0
+
+
+def test_a_request_that_finds_a_free_core_is_tried_though_its_hint_is_large() -> None:
+    world = World(settings(worth_by_work=True))
+    job = world.arrive(0, 1, hint=5.0)
+    assert job.state == "running"
+
+
+# Guards
+
+
+def test_a_repeat_is_answered_from_the_original_while_held_running_and_ended() -> None:
+    world = World(settings())
+    original = world.arrive(1, 1, key=7)
+    repeat = world.arrive(1, 2, key=7)
+    assert (original.state, repeat.state) == ("running", "reusing")
+    world.finish(repeat)
+    world.finish(original)
+    assert world.arrive(1, 2, key=7).state == "reusing"
+    world.advance(5.5)
+    world.settle()
+    assert world.arrive(1, 2, key=7).state == "running"  # its window has passed
+
+
+def test_a_keyed_request_is_kept_before_it_runs_and_forgotten_when_refused_unrun() -> None:
+    world = World(settings())
+    for _ in range(3):
+        world.arrive(0, 1)
+    held = world.arrive(1, 1, key=3)
+    assert held.id in world.entries
+    world.advance(3.1)
+    assert held.answers == 1
+    assert held.id not in world.entries
+
+
+def test_a_repeat_linked_to_one_refused_in_the_same_batch_is_new_work() -> None:
+    controller = Controller(settings(), 1)
+    controller.stalled = True
+    assert of(controller.on_event(0.0, i.Arrival(1, 1, 1, 5.0)), i.Refuse)
+    controller.stalled = False
+    actions = controller.on_event(0.0, i.Arrival(2, 1, 1, 5.0, same_as=1))
+    assert of(actions, i.Keep)
+    assert of(actions, i.Run)
+
+
+def test_running_work_past_its_due_time_is_failed_and_stopped_where_it_can_be() -> None:
+    world = World(settings(stop=i.Stop.PAUSE))
+    job = world.arrive(0, 1)
+    world.advance(3.0)
+    assert job.answers == 1
+    assert i.Halt(job.id) in world.log
+
+
+CALLS = (
+    i.ClassSettings(1.0, 3.0, calls=True, skip_worth=0.3),
+    i.ClassSettings(1.0, 3.0, 2.0, 0.0, i.Repeat.KEYED, 5.0, calls=True),
+)
+
+
+def test_a_failed_call_is_left_out_where_that_keeps_worth() -> None:
+    world = World(settings(below=i.Below.TIER, classes=CALLS))
+    job = world.arrive(0, 1)
+    world.need_call(job)
+    world.end_call(job, i.Outcome.TIMEOUT)
+    assert i.Skip(job.id) in world.log
+
+
+def test_a_call_is_repeated_only_on_proof_that_it_never_ran() -> None:
+    world = World(settings(below=i.Below.TIER, classes=CALLS))
+    refused, lost = world.arrive(1, 1, key=1), world.arrive(1, 1, key=2)
+    for job, outcome in ((refused, i.Outcome.FULL), (lost, i.Outcome.RESET)):
+        world.need_call(job)
+        world.end_call(job, outcome)
+    world.advance(0.2)
+    assert refused.calls == 2
+    assert lost.calls == 1
+    assert lost.answers == 1
+
+
+def test_a_call_may_take_no_longer_than_its_request_has() -> None:
+    world = World(settings(below=i.Below.TIER, classes=CALLS, passes_deadline=True))
+    job = world.arrive(0, 1, budget=0.9)
+    world.now += 0.3
+    world.need_call(job)
+    call = next(a for a in world.log if isinstance(a, i.Call))
+    assert 0 < call.limit <= 0.6
+
+
+def test_memory_is_never_filled_by_keys_and_runs() -> None:
+    world = World(settings(memory_kb=200.0, cores=8))
+    for n in range(30):
+        world.arrive(1, 1, key=n, kb=6.0)
+    assert 100.0 < world.memory() <= 200.0
+
+
+def test_nothing_that_comes_after_the_grace_runs_and_all_is_answered_before_the_stop() -> None:
+    world = World(settings())
+    running = world.arrive(0, 1)
+    world.drain(2.0)
+    assert not world.healthy
+    world.advance(0.5)
+    assert world.arrive(0, 1).state == "running"
+    world.advance(0.6)
+    assert world.arrive(0, 1).answers == 1
+    world.advance(0.899)
+    assert running.answers == 1
+
+
+# Health and advice
+
+
+def test_a_server_whose_cores_stand_still_refuses_and_leaves_until_something_moves() -> None:
+    world = World(settings())
+    jobs = [world.arrive(0, 1) for _ in range(2)]
+    world.advance(1.0)
+    assert not world.healthy
+    assert world.arrive(0, 1).answers == 1
+    world.finish(jobs[0])
+    world.advance(0.2)
+    assert world.healthy
+    assert world.arrive(0, 1).state == "running"
+
+
+def _serve(world: World, seconds: float, gap: float, age: float) -> None:
+    end = world.now + seconds
+    while world.now < end:
+        job = world.arrive(0, 1, age=age)
+        world.advance(gap)
+        if job.state == "running":
+            world.finish(job, spent=0.1)
+
+
+def test_requests_unread_for_long_at_a_low_pace_take_the_server_out_a_flood_does_not() -> None:
+    world = World(settings())
+    _serve(world, 5.0, 0.05, 0.0)
+    _serve(world, 5.0, 0.05, 0.9)  # unread for long, but as many as ever are read: a flood
+    assert world.healthy
+    _serve(world, 5.0, 0.5, 0.9)
+    assert not world.healthy
+    world.advance(12.0)
+    assert world.healthy
+
+
+def test_the_window_is_even_when_busy_and_serves_the_heaviest_when_idle() -> None:
+    said = {}
+    for cpu in (1.0, 0.2):
+        world = World(settings(advert=i.Advert.WINDOW, callers=10))
+        for n in range(60):
+            job = world.arrive(0, 1 if n % 10 else n)
+            world.advance(0.1, cpu=cpu)
+            world.finish(job, spent=0.1)
+        said[cpu] = world.published or 0.0
+    assert 0 < said[1.0] < 0.5 * said[0.2]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,158 @@
+"""The four rules over generated event sequences, checked by the oracle of tests/world.py."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from shelfhaven.decision import interface as i
+from tests.world import World
+
+CLASSES = (
+    i.ClassSettings(1.0, 3.0, 1.0, 0.0, i.Repeat.SAFE, 0.0, True, 0.3),
+    i.ClassSettings(0.8, 2.0, 2.0, 0.2, i.Repeat.KEYED, 4.0, True, 0.0),
+    i.ClassSettings(0.5, 1.0, 5.0, 0.0, i.Repeat.UNSAFE, 0.0, True, 0.0),
+)
+BASE: dict[str, object] = {
+    "cores": 2, "memory_kb": 900.0, "classes": CLASSES, "run_factor": 4.0, "key_kb": 8.0, "tick": 0.002,
+    "answer_slack": 0.06, "drain_grace": 1.0, "callers": 3, "fall_multiple": 5.0, "fall_over": 3.0,
+    "gauges": ("cpu_busy", "runnable"), "below": i.Below.TIER, "readiness": True,
+}  # fmt: skip
+
+
+def _settings(**changes: object) -> i.Settings:
+    return i.Settings(**{**BASE, **changes})  # type: ignore[arg-type]
+
+
+VARIANTS = {
+    "window": _settings(advert=i.Advert.WINDOW, tells_gone=True),
+    "deadlines": _settings(passes_deadline=True, stop=i.Stop.PAUSE),
+    "cold abort": _settings(
+        cold=True, cold_from=0.25, warm_up=8.0, stop=i.Stop.ABORT, advert=i.Advert.LEVEL
+    ),
+    "shared": _settings(below=i.Below.SHARED, calls_out=0.7, calls_over=5.0, advert=i.Advert.WEIGHT),
+    "no advice": _settings(retry_after=False, worth_by_work=True),
+    "small": _settings(memory_kb=260.0, cores=1),
+}
+FAILURES = [i.Outcome.ERROR, i.Outcome.FULL, i.Outcome.TIMEOUT, i.Outcome.CONNECT_FAILED, i.Outcome.RESET]
+
+OPS = st.one_of(
+    st.tuples(
+        st.just("arrive"), st.integers(0, 2), st.integers(1, 4), st.integers(1, 3),
+        st.sampled_from([0.0, 0.0, 0.3, 2.0]), st.sampled_from([0.0, 0.01, 0.4, 3.5]),
+    ),
+    st.tuples(st.just("advance"), st.sampled_from([0.0, 0.01, 0.1, 0.7, 4.1]), st.booleans()),
+    st.tuples(st.just("finish"), st.integers(0, 5), st.booleans()),
+    st.tuples(st.just("call"), st.integers(0, 5)),
+    st.tuples(st.just("answer"), st.integers(0, 5), st.sampled_from([i.Outcome.OK, *FAILURES])),
+    st.tuples(st.just("gone"), st.integers(0, 5)),
+    st.tuples(st.just("drain"), st.sampled_from([0.0, 0.5, 3.0])),
+    st.tuples(st.just("noise"), st.integers(0, 4)),
+)  # fmt: skip
+
+
+def _pick(world: World, number: int, *states: str) -> object:
+    jobs = [job for job in world.jobs.values() if job.state in states]
+    return jobs[number % len(jobs)] if jobs else None
+
+
+def play(world: World, ops: list[tuple]) -> None:  # type: ignore[type-arg]
+    """Drive one sequence, then let everything come to its end."""
+    for op in ops:
+        step(world, op)
+        world.settle()
+        if world.stop_at is not None and world.now >= world.stop_at:
+            return
+    world.advance(8.0)
+    world.settle()
+    for job in world.jobs.values():
+        assert job.answers == 1 or job.gone
+
+
+def step(world: World, op: tuple) -> None:  # type: ignore[type-arg]
+    """One generated step; it is left out where the server's state has no room for it."""
+    name, args = op[0], op[1:]
+    job = _pick(world, args[0], *STATES[name]) if name in STATES else None
+    if name == "arrive":
+        cls, caller, key, budget, age = args
+        world.arrive(cls, caller, key if cls == 1 else 0, budget, age)
+    elif name == "advance":
+        world.advance(args[0], stall=args[1] and args[0] < 1)
+    elif name == "drain" and world.drain_at is None:
+        world.drain(args[0])
+    elif name == "noise":
+        world.send(NOISE[args[0]])
+    elif job is not None and name == "finish":
+        world.finish(job, i.Outcome.OK if args[1] else i.Outcome.ERROR)  # type: ignore[arg-type]
+    elif job is not None and name == "call":
+        world.need_call(job)  # type: ignore[arg-type]
+    elif job is not None and name == "answer":
+        world.end_call(job, args[1])  # type: ignore[arg-type]
+    elif job is not None and name == "gone":
+        world.gone(job)  # type: ignore[arg-type]
+
+
+STATES = {
+    "finish": ("running", "reusing"),
+    "call": ("running",),
+    "answer": ("calling",),
+    "gone": ("held", "running", "reusing", "calling", "call_wait"),
+}
+NAN = float("nan")
+NOISE: list[i.Event] = [
+    i.RunEnded(99999, i.Outcome.OK, -1.0),
+    i.CallEnded(99999, i.Outcome.TIMEOUT, NAN),
+    i.NeedsCall(99999),
+    i.Gone(99999),
+    i.Timer(99999, (NAN, -1.0)),
+]
+
+
+@pytest.mark.parametrize("variant", VARIANTS)
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(ops=st.lists(OPS, max_size=60))
+def test_rules_hold_whatever_comes(variant: str, ops: list[tuple]) -> None:  # type: ignore[type-arg]
+    play(World(VARIANTS[variant]), ops)
+
+
+@pytest.mark.parametrize("variant", VARIANTS)
+def test_rules_hold_in_a_long_flood(variant: str) -> None:
+    world = World(VARIANTS[variant])
+    for n in range(600):
+        world.arrive(n % 3, n % 4, n % 7 if n % 3 == 1 else 0)
+        if n % 5 == 0:
+            world.advance(0.05)
+        for job in [j for j in world.jobs.values() if j.state == "running"][: n % 2]:
+            world.finish(job)
+        world.settle()
+        if n == 500:
+            world.drain(1.5)
+        if world.stop_at is not None and world.now >= world.stop_at:
+            break
+    kinds = {type(action) for action in world.log}
+    assert {i.Run, i.Refuse, i.Keep} <= kinds
+
+
+def test_bad_numbers_neither_raise_nor_break_a_rule() -> None:
+    world = World(VARIANTS["window"])
+    for value in (NAN, -1.0, float("inf"), -float("inf"), 1e30):
+        for cls in range(3):
+            event = i.Arrival(10_000 + world.next_id, cls, 1, value, 0, value, value, value)
+            world.next_id += 1
+            actions = world.controller.on_event(world.now, event)
+            assert any(isinstance(a, i.Run | i.Refuse | i.SetTimer) for a in actions)
+    world.controller.on_event(world.now, i.Drain(NAN))
+    assert isinstance(world.controller.on_event(world.now, i.Arrival(1, 77, 1, 1.0))[0], i.Refuse)
+
+
+def test_the_same_events_give_the_same_actions() -> None:
+    logs = []
+    for _ in range(2):
+        world = World(VARIANTS["window"], seed=5)
+        for n in range(80):
+            world.arrive(n % 3, n % 4, n % 5 if n % 3 == 1 else 0)
+            world.advance(0.03)
+        logs.append(world.log)
+    assert logs[0] == logs[1]
+    assert len(logs[0]) > 150
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,258 @@
+"""A hand-driven server around one Controller, with an oracle of the four rules of its own.
+
+It keeps no policy: it applies actions, moves states as the wire describes, and asserts the rules.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from shelfhaven.decision import interface as i
+from shelfhaven.decision.control import Controller
+
+
+@dataclass
+class Job:
+    """What the oracle knows of one request."""
+
+    id: int
+    cls: int
+    key: int
+    arrived: float
+    due: float
+    kb: float
+    state: str = "held"  # held running call_wait calling reusing done
+    answers: int = 0
+    gone: bool = False
+    runs: int = 0
+    origin: int = 0
+    calls: int = 0
+    proof: bool = True  # the last call is known not to have run
+
+
+@dataclass
+class World:
+    """One server."""
+
+    settings: i.Settings
+    seed: int = 1
+    now: float = 100.0
+    late: float = 0.0  # how late timers have come at worst
+    jobs: dict[int, Job] = field(default_factory=dict)
+    timers: list[tuple[float, int]] = field(default_factory=list)
+    table: dict[int, tuple[int, float]] = field(default_factory=dict)  # key -> request, end
+    ran: dict[int, list[float]] = field(default_factory=dict)  # key -> arrivals of tries that ran
+    entries: dict[int, float] = field(default_factory=dict)  # request -> end of its entry
+    log: list[i.Action] = field(default_factory=list)
+    drain_at: float | None = None
+    stop_at: float | None = None
+    next_id: int = 1
+    healthy: bool = True
+    published: float | None = None
+
+    def __post_init__(self) -> None:
+        self.started = self.now
+        self.controller = Controller(self.settings, self.seed)
+        self.send(i.Started())
+
+    # Stimuli
+
+    def send(self, event: i.Event) -> list[i.Action]:
+        actions = self.controller.on_event(self.now, event)
+        for action in actions:
+            self._apply(action)
+        self.log += actions
+        self._check()
+        return actions
+
+    def arrive(
+        self, cls: int = 0, caller: int = 1, key: int = 0, budget: float = 0.0, age: float = 0.0,
+        hint: float = 0.0, kb: float = 10.0, tenant: int = 0,
+    ) -> Job:  # fmt: skip
+        settings = self.settings.classes[cls]
+        keyed = settings.repeat is i.Repeat.KEYED
+        arrived = self.now - age
+        due = self.now + budget if budget > 0 else max(self.now, arrived + settings.deadline)
+        job = Job(self.next_id, cls, key, arrived, due, kb)
+        self.next_id += 1
+        if keyed and key in self.table:
+            original, end = self.table[key]
+            if arrived < end:
+                job.origin = original
+        self.jobs[job.id] = job
+        self.send(
+            i.Arrival(
+                job.id, cls, caller, kb, tenant=tenant, budget=budget, age=age, hint=hint, same_as=job.origin
+            )
+        )
+        return job
+
+    def advance(self, seconds: float, stall: bool = False, cpu: float = 1.0) -> None:
+        """Let time pass; a stall holds the timers until its end."""
+        end = self.now + seconds
+        if stall:
+            self.now = end
+            self.late = max(self.late, seconds)
+        while True:
+            ready = sorted(t for t in self.timers if t[0] <= end)
+            if not ready:
+                break
+            timer = ready[0]
+            self.timers.remove(timer)
+            self.now = max(self.now, timer[0])
+            gauges = tuple({"cpu_busy": cpu}.get(name, 0.0) for name in self.settings.gauges)
+            self.send(i.Timer(timer[1], gauges))
+        self.now = end
+        self._check()
+
+    def finish(self, job: Job, outcome: i.Outcome = i.Outcome.OK, spent: float = 0.2) -> None:
+        assert job.state in ("running", "reusing")
+        if outcome in (i.Outcome.OK, i.Outcome.ERROR) and not job.gone and not job.answers:
+            job.answers += 1
+        job.state = "done"
+        self.send(i.RunEnded(job.id, outcome, spent))
+
+    def need_call(self, job: Job) -> None:
+        assert job.state == "running"
+        if job.answers or job.gone:
+            job.state = "done"
+            self.send(i.RunEnded(job.id, i.Outcome.CANCELLED, 0.1))
+            return
+        job.state, job.calls = "call_wait", 0
+        self.send(i.NeedsCall(job.id))
+
+    def end_call(self, job: Job, outcome: i.Outcome) -> None:
+        assert job.state == "calling"
+        job.state = "running" if outcome is i.Outcome.OK else "call_wait"
+        job.proof = outcome in i.NEVER_RAN
+        self.send(i.CallEnded(job.id, outcome, 0.1))
+
+    def gone(self, job: Job) -> None:
+        job.gone = True
+        if job.state in ("held", "reusing"):
+            job.state = "done"
+            self.send(i.Gone(job.id))
+        elif job.state in ("call_wait", "calling"):
+            job.state = "done"
+            self.send(i.Gone(job.id))
+            self.send(i.RunEnded(job.id, i.Outcome.CANCELLED, 0.1))
+        else:
+            self.send(i.Gone(job.id))
+
+    def drain(self, left: float) -> None:
+        self.drain_at, self.stop_at = self.now, self.now + left
+        self.send(i.Drain(left))
+
+    # Oracle
+
+    def memory(self) -> float:
+        factor = {"held": 1.0, "reusing": 1.0, "done": 0.0}
+        kb = sum(j.kb * factor.get(j.state, self.settings.run_factor) for j in self.jobs.values())
+        live = sum(1 for end in self.entries.values() if end > self.now)
+        return kb + live * self.settings.key_kb
+
+    def on_core(self) -> int:
+        return sum(1 for job in self.jobs.values() if job.state == "running")
+
+    def _answer(self, job: Job) -> None:
+        assert job.answers == 0, f"second answer to {job.id}"
+        job.answers += 1
+
+    def _linked_runs(self, job: Job) -> int:
+        origin = self.jobs.get(job.origin)
+        return job.runs + (origin.runs if origin else 0)
+
+    def _apply(self, action: i.Action) -> None:
+        if isinstance(action, i.SetTimer):
+            assert action.delay >= 0
+            self.timers.append((self.now + max(action.delay, 1e-4), action.token))
+        elif isinstance(action, i.Health):
+            self.healthy = action.good
+        elif isinstance(action, i.Publish):
+            assert self.settings.advert is not i.Advert.NONE
+            assert action.value >= 0
+            self.published = action.value
+        elif not isinstance(action, i.CloseIdle):
+            self._apply_to(self.jobs[action.id], action)
+
+    def _apply_to(self, job: Job, action: i.Action) -> None:
+        cls = self.settings.classes[job.cls]
+        match action:
+            case i.Run():
+                self._run(job, cls)
+            case i.Refuse():
+                if job.state != "done":
+                    assert self._linked_runs(job) == 0 or cls.repeat is i.Repeat.SAFE, "refused after a run"
+                    assert action.retry_after <= self.settings.max_retry_after
+                    self._answer(job)
+                    job.state = "done" if job.state != "running" else "running"
+            case i.Fail():
+                if job.state != "done":
+                    self._answer(job)
+                    if job.state in ("held", "reusing"):
+                        job.state = "done"
+                    elif job.state in ("call_wait", "calling"):
+                        job.state = "ending"
+            case i.Halt():
+                assert self.settings.stop is not i.Stop.NONE
+                if job.state == "running":
+                    assert job.answers or job.gone, "only unwanted work is stopped"
+                    job.state = "ending"
+            case i.Keep():
+                assert cls.repeat is i.Repeat.KEYED
+                self.table[job.key] = (job.id, self.now + action.ttl)
+                self.entries = {k: v for k, v in self.entries.items() if self.jobs[k].key != job.key}
+                self.entries[job.id] = self.now + action.ttl
+            case i.Forget():
+                assert job.runs == 0, "forgot a request that ran"
+                self.entries.pop(job.id, None)
+                if self.table.get(job.key, (0, 0.0))[0] == job.id:
+                    del self.table[job.key]
+            case i.Reuse():
+                assert job.origin, "reuse without an original"
+                job.state = "reusing"
+            case i.Call():
+                assert job.state == "call_wait"
+                assert job.calls == 0 or job.proof, "call repeated without proof that it never ran"
+                assert action.limit > 0
+                job.calls += 1
+                job.state = "calling"
+            case i.Skip():
+                assert job.state == "call_wait"
+                assert cls.skip_worth > 0
+                job.state = "running"
+
+    def _run(self, job: Job, cls: i.ClassSettings) -> None:
+        if job.state == "done":
+            return
+        assert job.state == "held"
+        assert job.runs == 0, "run twice"
+        if cls.repeat is i.Repeat.KEYED:
+            earlier = [at for at in self.ran.get(job.key, []) if job.arrived - at <= cls.window]
+            assert not earlier, "an effect twice"
+            self.ran.setdefault(job.key, []).append(job.arrived)
+            assert self.entries.get(job.id, 0.0) >= job.arrived + cls.window, "entry short or missing"
+        if self.drain_at is not None:
+            assert job.arrived <= self.drain_at + self.settings.drain_grace, "ran after the grace"
+        job.state, job.runs = "running", 1
+
+    def _check(self) -> None:
+        s = self.settings
+        warm = 1.0
+        if s.cold and s.warm_up > 0:
+            warm = min(1.0, s.cold_from + (1 - s.cold_from) * (self.now - self.started) / s.warm_up)
+        assert self.on_core() <= s.cores * (1 + (s.fall_multiple - 1) * warm) + 1e-9, "crowd"
+        assert self.memory() <= s.memory_kb, "memory"
+        for job in self.jobs.values():
+            if job.answers or job.gone:
+                continue
+            assert self.now <= job.due + s.answer_slack + self.late, f"{job.id} lost"
+            if self.stop_at is not None:
+                assert self.now < self.stop_at + self.late, f"{job.id} unanswered at the stop"
+
+    def settle(self) -> None:
+        """Deliver the ends that the actions asked for (cancelled work, moot reuses)."""
+        for job in list(self.jobs.values()):
+            if job.state == "ending":
+                job.state = "done"
+                self.send(i.RunEnded(job.id, i.Outcome.CANCELLED, 0.1))
