--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -211,7 +211,7 @@
         self.moved += 1
         keyed = self.settings.classes[event.cls].repeat is i.Repeat.KEYED
         if keyed and event.same_as and event.same_as not in self.dropped:
-            self._repeat(request, event.same_as)
+            self._repeat(now, request, event.same_as)
         elif self._must_refuse(now, request):
             self._refuse(request, caller, stay=False)
         elif self._shed(caller):
@@ -279,11 +279,11 @@
             self.memory += self.settings.key_kb
         self.hold[request.id] = request
 
-    def _repeat(self, request: Request, original: int) -> None:
+    def _repeat(self, now: float, request: Request, original: int) -> None:
         """A repeat of a keyed request is answered from the original: run once, it never runs again."""
         request.state, request.ran = State.REUSING, True
         if self.memory > MEMORY_PART * self.settings.memory_kb:
-            self._give_up(request)
+            self._give_up(now, request)
             return
         first = self.requests.get(original)
         if first:
@@ -302,7 +302,7 @@
         else:
             request = self.requests.get(event.token)
             if request and not request.answered and now >= request.due - self.settings.tick:
-                self._give_up(request)
+                self._give_up(now, request)
 
     def _tick(self, now: float, gauges: dict[str, float]) -> None:
         self.out.append(i.SetTimer(PERIOD, TICK_TOKEN))
@@ -319,8 +319,8 @@
 
     def _adjust_share(self, now: float) -> None:
         """PI loop: hold waits, as parts of their aims, set the admitted share."""
-        for request in self.hold.values():
-            self._note_wait(now, request)
+        if self.hold:  # the oldest: the first in the order of arrival
+            self._note_wait(now, next(iter(self.hold.values())))
         signal = self.wait_sum / self.wait_count if self.wait_count else 0.0
         self.wait_sum, self.wait_count = 0.0, 0
         error = min(signal, 3.0) - 1
@@ -423,7 +423,7 @@
             limit = request.due if cls.late_worth > 0 else request.aim_at
             waited = now > request.read_at  # expectations are rough: what finds a free core is tried
             if now >= limit or (waited and now + OPTIMISM * self._expected(request) > limit):
-                self._give_up(request)
+                self._give_up(now, request)
         if not self.hold or not self._room():
             return
         order = sorted(self.hold.values(), key=lambda r: (-self._index(now, r), r.id))
@@ -447,11 +447,12 @@
         self.memory += (self.settings.run_factor - 1) * request.footprint
         self.out.append(i.Run(request.id))
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, now: float, request: Request) -> None:
         """Answer at once what will not be served here, telling when to come back."""
         if request.answered:
             return
         if not request.ran:
+            self._note_wait(now, request)
             self._refuse(request, None, stay=True)
             return
         self.out.append(i.Fail(request.id))
@@ -475,8 +476,8 @@
         self.progress_at = now
         if event.outcome is i.Outcome.OK and request.state in (State.RUNNING, State.CALLING):
             self._learn(request, _sane(event.spent))
-        if event.outcome is i.Outcome.CANCELLED and not request.answered:
-            return
+        if event.outcome in (i.Outcome.CANCELLED, i.Outcome.MOOT) and not request.answered:
+            self.out.append(i.Fail(request.id))  # its caller left unheard, or it had ended; harmless then
         if request.state != State.REUSING:
             self.completed += 1
             self.moved += 1
@@ -506,7 +507,7 @@
             return
         left = request.due - now
         if left <= 0:
-            self._give_up(request)
+            self._give_up(now, request)
         elif self._call_room():
             request.state = State.CALLING
             self.at_call -= 1
@@ -552,7 +553,7 @@
         elif outcome in i.NEVER_RAN and request.due - now > 2 * CALL_BACKOFF:
             self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
         else:
-            self._give_up(request)
+            self._give_up(now, request)
 
     # Ends
 
@@ -610,7 +611,7 @@
             request.due = min(request.due, self.stop_at - margin)
             request.aim_at = min(request.aim_at, request.due)
             if request.due <= now:
-                self._give_up(request)
+                self._give_up(now, request)
             else:
                 self.out.append(i.SetTimer(request.due - now, request.id))
         self.out.append(i.Health(False))
