--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -22,7 +22,6 @@
 PERIOD = 0.1  # control interval, short against any wait aim worth having, long against its own cost
 WAIT_PART = 0.4  # of the time an aim leaves beside the run, how much may be spent waiting
 GAIN_P, GAIN_I = 0.3, 0.5  # share lost at once, and per second, for a wait one aim too long
-SIGNAL_GAIN = 0.3  # of a control interval's waits in the signal: one interval sees only a few ends
 SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
 RANK_STEP = 1.0  # refusals owed that protect a caller from those with the next higher counter
 
@@ -159,7 +158,7 @@
         self.memory = 0.0
         self.cap = float(s.cores)
         self.share, self.debt, self.error = 1.0, 0.0, 0.0
-        self.wait, self.wait_sum, self.wait_count = 0.0, 0.0, 0
+        self.wait_sum, self.wait_count = 0.0, 0
         self.completed = self.moved = 0
         self.pace = self.best_pace = 0.0  # reads and ends of runs a second
         self.progress_at = self.started_at = self.full_since = 0.0
@@ -320,12 +319,11 @@
 
     def _adjust_share(self, now: float) -> None:
         """PI loop: hold waits, as parts of their aims, set the admitted share."""
-        if self.hold:  # the oldest: the first in the order of arrival
-            self._note_wait(now, next(iter(self.hold.values())))
-        latest = self.wait_sum / self.wait_count if self.wait_count else 0.0
+        for request in self.hold.values():
+            self._note_wait(now, request)
+        signal = self.wait_sum / self.wait_count if self.wait_count else 0.0
         self.wait_sum, self.wait_count = 0.0, 0
-        self.wait += SIGNAL_GAIN * (min(latest, 3.0) - self.wait)
-        error = self.wait - 1
+        error = min(signal, 3.0) - 1
         self.share -= GAIN_P * (error - self.error) + GAIN_I * error * PERIOD
         self.share = min(1.0, max(SHARE_MIN, self.share))
         self.error = error
