Calls limit: additive increase, cut on failed calls, gates what begins

Change: a limit on requests at calls, cut by failed calls, raised by good ones; what would pass it waits in the hold, where the wait loop sheds it unrun. Should also cover a slow or refusing shared dependency. Harm: calls that fail at random with room below.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -34,7 +34,8 @@
 # Guards
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
 CROWD_PART = 0.7  # of the crowd that kills, reached by choice
-CALLS_PER_CORE = 3.0  # requests waiting on calls for each core; they return to the cores together
+CALLS_PER_CORE = 3.0  # most requests waiting on calls for each core; they return to the cores together
+CALL_CUT, CALL_CUT_EVERY = 0.85, 0.2  # of the calls limit left after a failed call, at most every so often
 MARGIN_TICKS = 3  # answers go out this many ticks before they are due
 CALL_BACKOFF = 0.1  # pause before a call that is known not to have run is placed again
 STALL_RUNS = 1.5  # mean runs with all cores taken and no progress that count as standing still; with six
@@ -169,6 +170,7 @@
         self.idle = 0.0  # part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
+        self.call_cap, self.call_cut_at = CALLS_PER_CORE * s.cores, 0.0
         self.drain_at = self.stop_at = math.inf
 
     # Entry
@@ -430,6 +432,8 @@
         for request in order:
             if not self._room():
                 return
+            if self.settings.classes[request.cls].calls and self.calls + self.at_call >= self.call_cap:
+                continue
             extra = (self.settings.run_factor - 1) * request.footprint
             if self.memory + extra <= MEMORY_PART * self.settings.memory_kb:
                 self._run(now, request)
@@ -522,6 +526,19 @@
             return self.calls < max(1.0, s.calls_out) and self.call_load <= MEMORY_PART * s.calls_out
         return self.calls < CALLS_PER_CORE * s.cores
 
+    def _adapt_calls(self, now: float, outcome: i.Outcome) -> None:
+        """Calls limit, additive up and multiplicative down: what fails below holds back what begins here.
+
+        Guards against a tier or dependency below that is short, slow or refusing, whatever the cause:
+        work waits in the hold, where it can be refused unrun, and not half done. It can do harm where
+        single calls fail at random though there is room.
+        """
+        if outcome is i.Outcome.OK:
+            self.call_cap = min(CALLS_PER_CORE * self.settings.cores, self.call_cap + 1 / self.call_cap)
+        elif now - self.call_cut_at >= CALL_CUT_EVERY:
+            self.call_cut_at = now
+            self.call_cap = max(1.0, self.call_cap * CALL_CUT)
+
     def _place_waiting(self, now: float) -> None:
         for _ in range(len(self.calls_waiting)):
             request = self.calls_waiting.popleft()
@@ -533,6 +550,7 @@
         if request is None or request.state != State.CALLING:
             return
         self.calls -= 1
+        self._adapt_calls(now, event.outcome)
         if event.outcome is i.Outcome.OK:
             request.state = State.RUNNING
             self.on_core += 1
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -371,3 +371,23 @@
             world.finish(job, spent=0.1)
         said[cpu] = world.published or 0.0
     assert 0 < said[1.0] < 0.5 * said[0.2]
+
+
+def test_failing_calls_hold_back_what_begins_and_successes_let_it_grow_again() -> None:
+    world = World(settings(below=i.Below.TIER, classes=(CALLS[0], i.ClassSettings(9.0, 30.0, calls=True))))
+    full = world.controller.call_cap
+    for n in range(30):
+        job = world.arrive(1, n % 2)
+        world.need_call(job)
+        world.end_call(job, i.Outcome.RESET)
+        world.settle()
+        world.now += 0.3
+    assert world.controller.call_cap < 0.3 * full
+    jobs = [world.arrive(1, 1) for _ in range(4)]
+    world.need_call(jobs[0])
+    world.need_call(jobs[1])
+    assert jobs[2].state == "held"  # cores are free, the calls limit is not
+    world.end_call(jobs[0], i.Outcome.OK)
+    world.finish(jobs[0])
+    assert jobs[2].state == "running"
+    assert world.controller.call_cap > 1.0
