Calls last while their request can make its aim; counts kept by state

Change: a call ends when its request can no longer make its aim, but not before mean and four deviations of good calls. The calls limit is now cut by refusals only, not by time-outs, which say nothing of room below. Counts of requests in each state and memory in use are kept in one place (no change in behaviour).

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 from shelfhaven.decision import interface as i
 
@@ -37,6 +37,8 @@
 CALLS_PER_CORE = 3.0  # most requests waiting on calls for each core; they return to the cores together
 CALL_CUT, CALL_CUT_EVERY = 0.85, 0.2  # of the calls limit left after a failed call, at most every so often
 MARGIN_TICKS = 3  # answers go out this many ticks before they are due
+CALL_DEVIATIONS = 4.0  # a call is given up this many deviations over the mean time of good ones (RFC 6298)
+REST_PART = 0.5  # of a mean run that is left after its call
 CALL_BACKOFF = 0.1  # pause before a call that is known not to have run is placed again
 STALL_RUNS = 1.5  # mean runs with all cores taken and no progress that count as standing still; with six
 STALL_MIN = 0.5  # independent runs chance gets there once in 8,000 times; at least this long, so pauses pass
@@ -57,14 +59,14 @@
 class State:
     """Where a request is."""
 
-    HELD, RUNNING, AT_CALL, CALLING, PAUSED, REUSING, DONE = range(7)
+    HELD, REUSING, RUNNING, AT_CALL, CALLING, DONE = range(6)
 
 
 class Request:
     """One request that was read here."""
 
     __slots__ = (
-        "aim_at", "answered", "arrived", "begun", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
+        "aim_at", "answered", "arrived", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
         "state", "waiters",
     )  # fmt: skip
 
@@ -72,10 +74,9 @@
         self.id, self.cls = event.id, event.cls
         self.hint, self.footprint = _sane(event.hint), _sane(event.footprint_kb)
         self.read_at, self.arrived, self.due, self.aim_at = now, now - _sane(event.age), due, aim_at
-        self.state = State.HELD
+        self.state = State.DONE  # until it is taken in
         self.answered = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
-        self.begun = now
         self.waiters = 0
 
 
@@ -147,15 +148,13 @@
         self.callers = CallerList()
         self.requests: dict[int, Request] = {}
         self.hold: dict[int, Request] = {}
-        self.calls_waiting: deque[Request] = deque()
         self.kept: dict[int, float] = {}  # table of keys: request, end of its entry
         self.kept_ends: list[tuple[float, int]] = []
         self.dropped: dict[int, float] = {}  # keyed requests turned away unrun, until their window ends
         self.mean_run = [c.aim * 0.25 for c in s.classes]
         self.mean_hint = [0.0 for _ in s.classes]  # of the runs in mean_run that carried a hint
         self.hinted_run = [0.0 for _ in s.classes]
-        self.on_core = self.calls = 0
-        self.at_call = 0
+        self.count = [0] * (State.DONE + 1)  # requests in each state
         self.memory = 0.0
         self.cap = float(s.cores)
         self.share, self.debt, self.error = 1.0, 0.0, 0.0
@@ -170,6 +169,7 @@
         self.idle = 0.0  # part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
+        self.call_mean = self.call_dev = 0.0
         self.call_cap, self.call_cut_at = CALLS_PER_CORE * s.cores, 0.0
         self.drain_at = self.stop_at = math.inf
 
@@ -183,19 +183,15 @@
                 self._arrival(now, event)
             case i.Timer():
                 self._timer(now, event)
-            case i.RunEnded():
-                self._run_ended(now, event)
-            case i.NeedsCall():
-                self._needs_call(now, event.id)
-            case i.CallEnded():
-                self._call_ended(now, event)
-            case i.Gone():
-                self._gone(event.id)
             case i.Drain():
                 self._drain(now, event.left)
             case i.Started():
                 self.started_at = self.progress_at = now
                 self.out += [i.SetTimer(PERIOD, TICK_TOKEN), i.Health(True)]
+            case _:
+                request = self.requests.get(event.id)
+                if request:  # else it has ended here
+                    self._progress(now, request, event)
         self._dispatch(now)
         return self.out
 
@@ -233,7 +229,7 @@
         due = max(now, min(due, self.stop_at) - margin)
         request = Request(event, now, due, min(due, reached + aim))
         self.requests[request.id] = request
-        self.memory += request.footprint
+        self._move(request, State.HELD)
         return request
 
     def _caller_key(self, event: i.Arrival) -> tuple[int, ...]:
@@ -283,7 +279,8 @@
 
     def _repeat(self, now: float, request: Request, original: int) -> None:
         """A repeat of a keyed request is answered from the original: run once, it never runs again."""
-        request.state, request.ran = State.REUSING, True
+        self._move(request, State.REUSING)
+        request.ran = True
         if self.memory > MEMORY_PART * self.settings.memory_kb:
             self._give_up(now, request)
             return
@@ -315,8 +312,8 @@
         self._watch_progress(now)
         self._adjust_share(now)
         self._adjust_cap(gauges)
-        self.call_load += (self.calls - self.call_load) * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
-        self._place_waiting(now)
+        calls = self.count[State.CALLING]
+        self.call_load += (calls - self.call_load) * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
         self._publish(now)
 
     def _adjust_share(self, now: float) -> None:
@@ -340,7 +337,8 @@
         """Concurrency limit: up while cores idle and work waits, back to the cores once they are busy."""
         busy = gauges.get("cpu_busy", 1.0)
         self.idle = 1 - busy
-        if busy < IDLE_CORES and self.hold and self.on_core >= int(self.cap) and not self.stalled:
+        full = self.count[State.RUNNING] >= int(self.cap)
+        if busy < IDLE_CORES and self.hold and full and not self.stalled:
             self.cap = min(self.cap * 1.1, self._crowd())
         elif busy >= IDLE_CORES:
             self.cap = max(float(self.settings.cores), self.cap * 0.95)
@@ -360,11 +358,11 @@
         s = self.settings
         if s.cold and s.warm_up > 0:
             self.warmth = min(1.0, s.cold_from + (1 - s.cold_from) * (now - self.started_at) / s.warm_up)
-        if self.on_core < s.cores:  # fewer runs may all be long ones; that is no sign
+        if self.count[State.RUNNING] < s.cores:  # fewer runs may all be long ones; that is no sign
             self.full_since = now
         quiet = now - max(self.progress_at, self.full_since)
         self.stalled = quiet > max(STALL_MIN, STALL_RUNS * max(self.mean_run))
-        if not self.hold and self.on_core < s.cores:  # no news while nothing comes: forget slowly, then try
+        if not self.hold and self.count[State.RUNNING] < s.cores:  # no news: forget slowly, then try
             self.lag -= self.lag * PERIOD / RATE_SPAN
         self.pace += PERIOD * (self.moved / PERIOD - self.pace)
         self.best_pace = max(self.pace, self.best_pace * (1 - PERIOD / BEST_SPAN))
@@ -385,7 +383,7 @@
             even = 1 / max(1, s.callers)
             spare = min(1.0, self.idle / SPARE)
             part = even + max(0.0, self.callers.heaviest(now) - even) * spare
-            value = self.share * ((self.cap + self.calls + waiting) * part + spare)
+            value = self.share * ((self.cap + self._at_calls() + waiting) * part + spare)
             value = 0.0 if leaving else 0.1 if self.sick else value
         elif s.advert is i.Advert.WEIGHT:
             value = 0.0 if leaving else 0.1 if self.sick else self.share
@@ -432,7 +430,7 @@
         for request in order:
             if not self._room():
                 return
-            if self.settings.classes[request.cls].calls and self.calls + self.at_call >= self.call_cap:
+            if self.settings.classes[request.cls].calls and self._at_calls() >= self.call_cap:
                 continue
             extra = (self.settings.run_factor - 1) * request.footprint
             if self.memory + extra <= MEMORY_PART * self.settings.memory_kb:
@@ -440,15 +438,18 @@
 
     def _room(self) -> bool:
         crowd = self._crowd()
-        in_hand = self.on_core + self.calls + self.at_call  # calls return to the cores together
-        return self.on_core < int(self.cap) and in_hand + 1 <= crowd
+        on_core = self.count[State.RUNNING]
+        in_hand = on_core + self._at_calls()  # calls return to the cores together
+        return on_core < int(self.cap) and in_hand + 1 <= crowd
+
+    def _at_calls(self) -> int:
+        return self.count[State.AT_CALL] + self.count[State.CALLING]
 
     def _run(self, now: float, request: Request) -> None:
         self._note_wait(now, request)
         self.hold.pop(request.id, None)
-        request.state, request.ran, request.begun = State.RUNNING, True, now
-        self.on_core += 1
-        self.memory += (self.settings.run_factor - 1) * request.footprint
+        self._move(request, State.RUNNING)
+        request.ran = True
         self.out.append(i.Run(request.id))
 
     def _give_up(self, now: float, request: Request) -> None:
@@ -473,10 +474,25 @@
 
     # Runs and calls
 
-    def _run_ended(self, now: float, event: i.RunEnded) -> None:
-        request = self.requests.get(event.id)
-        if request is None:
-            return
+    def _progress(self, now: float, request: Request, event: i.Event) -> None:
+        """What happens to a request that was taken in: its run, its calls, its caller's leaving."""
+        match event:
+            case i.RunEnded():
+                self._run_ended(now, request, event)
+            case i.NeedsCall() if request.state == State.RUNNING:
+                self.progress_at = now
+                self._move(request, State.AT_CALL)
+                self._place(now, request)
+            case i.CallEnded() if request.state == State.CALLING:
+                self._call_ended(now, request, event)
+            case i.Gone():
+                request.answered = True
+                if request.state in (State.HELD, State.REUSING):
+                    self._end(request)
+                elif request.state == State.RUNNING:
+                    self._halt(request)
+
+    def _run_ended(self, now: float, request: Request, event: i.RunEnded) -> None:
         self.progress_at = now
         if event.outcome is i.Outcome.OK and request.state in (State.RUNNING, State.CALLING):
             self._learn(request, _sane(event.spent))
@@ -495,16 +511,6 @@
             self.mean_hint[cls] += GAP_GAIN * (request.hint - self.mean_hint[cls])
             self.hinted_run[cls] += GAP_GAIN * (spent - self.hinted_run[cls])
 
-    def _needs_call(self, now: float, id_: int) -> None:
-        request = self.requests.get(id_)
-        if request is None or request.state != State.RUNNING:
-            return
-        self.progress_at = now
-        self.on_core -= 1
-        self.at_call += 1
-        request.state = State.AT_CALL
-        self._place(now, request)
-
     def _place(self, now: float, request: Request) -> None:
         """Place the call if the bound on calls in hand allows; the time left limits it."""
         if request.answered:
@@ -513,60 +519,53 @@
         if left <= 0:
             self._give_up(now, request)
         elif self._call_room():
-            request.state = State.CALLING
-            self.at_call -= 1
-            self.calls += 1
-            self.out.append(i.Call(request.id, left))
+            self._move(request, State.CALLING)
+            self.out.append(i.Call(request.id, min(left, self._patience(now, request))))
         else:
-            self.calls_waiting.append(request)
+            self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
 
     def _call_room(self) -> bool:
-        s = self.settings
-        if s.below is i.Below.SHARED:
-            return self.calls < max(1.0, s.calls_out) and self.call_load <= MEMORY_PART * s.calls_out
-        return self.calls < CALLS_PER_CORE * s.cores
+        """A shared dependency falls by the mean of calls in its hands; a tier below guards itself."""
+        bound = self.settings.calls_out
+        few = self.count[State.CALLING] < max(1.0, bound) and self.call_load <= MEMORY_PART * bound
+        return few or self.settings.below is not i.Below.SHARED
 
-    def _adapt_calls(self, now: float, outcome: i.Outcome) -> None:
+    def _patience(self, now: float, request: Request) -> float:
+        """How long a call may take: while its request can make its aim, at least as good calls do.
+
+        Guards against calls that never come back (a dead path, a hung server below): they would pin
+        memory and calls here until their due time while others get through. It can do harm where
+        answers after the aim are worth nearly as much and calls below are very uneven.
+        """
+        usual = self.call_mean + CALL_DEVIATIONS * self.call_dev
+        return max(usual, request.aim_at - now - REST_PART * self.mean_run[request.cls])
+
+    def _adapt_calls(self, now: float, event: i.CallEnded) -> None:
         """Calls limit, additive up and multiplicative down: what fails below holds back what begins here.
 
         Guards against a tier or dependency below that is short, slow or refusing, whatever the cause:
         work waits in the hold, where it can be refused unrun, and not half done. It can do harm where
         single calls fail at random though there is room.
         """
-        if outcome is i.Outcome.OK:
+        if event.outcome is i.Outcome.OK:
+            spent = _sane(event.spent)
+            self.call_dev += 2 * GAP_GAIN * (abs(spent - self.call_mean) - self.call_dev)
+            self.call_mean += GAP_GAIN * (spent - self.call_mean) if self.call_mean else spent
             self.call_cap = min(CALLS_PER_CORE * self.settings.cores, self.call_cap + 1 / self.call_cap)
-        elif now - self.call_cut_at >= CALL_CUT_EVERY:
+        elif event.outcome is not i.Outcome.TIMEOUT and now - self.call_cut_at >= CALL_CUT_EVERY:
             self.call_cut_at = now
             self.call_cap = max(1.0, self.call_cap * CALL_CUT)
 
-    def _place_waiting(self, now: float) -> None:
-        for _ in range(len(self.calls_waiting)):
-            request = self.calls_waiting.popleft()
-            if request.state == State.AT_CALL:
-                self._place(now, request)
-
-    def _call_ended(self, now: float, event: i.CallEnded) -> None:
-        request = self.requests.get(event.id)
-        if request is None or request.state != State.CALLING:
-            return
-        self.calls -= 1
-        self._adapt_calls(now, event.outcome)
-        if event.outcome is i.Outcome.OK:
-            request.state = State.RUNNING
-            self.on_core += 1
-        else:
-            request.state = State.AT_CALL
-            self.at_call += 1
-            if not request.answered:
-                self._call_failed(now, request, event.outcome)
-        self._place_waiting(now)
+    def _call_ended(self, now: float, request: Request, event: i.CallEnded) -> None:
+        self._adapt_calls(now, event)
+        self._move(request, State.RUNNING if event.outcome is i.Outcome.OK else State.AT_CALL)
+        if request.state == State.AT_CALL and not request.answered:
+            self._call_failed(now, request, event.outcome)
 
     def _call_failed(self, now: float, request: Request, outcome: i.Outcome) -> None:
         """Leave the call out where that keeps worth; repeat only what is known not to have run."""
         if self.settings.classes[request.cls].skip_worth > 0:
-            self.at_call -= 1
-            self.on_core += 1
-            request.state = State.RUNNING
+            self._move(request, State.RUNNING)
             self.out.append(i.Skip(request.id))
         elif outcome in i.NEVER_RAN and request.due - now > 2 * CALL_BACKOFF:
             self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
@@ -575,28 +574,18 @@
 
     # Ends
 
-    def _gone(self, id_: int) -> None:
-        request = self.requests.get(id_)
-        if request is None:
-            return
-        request.answered = True
-        if request.state in (State.HELD, State.REUSING, State.PAUSED):
-            self._end(request)
-        elif request.state == State.RUNNING:
-            self._halt(request)
+    def _move(self, request: Request, state: int) -> None:
+        """Change a request's state and with it the counts and the memory in use."""
+        for sign, where in ((-1, request.state), (1, state)):
+            held = where < State.RUNNING
+            weight = 0.0 if where == State.DONE else 1.0 if held else self.settings.run_factor
+            self.count[where] += sign
+            self.memory += sign * weight * request.footprint
+        request.state = state
 
     def _end(self, request: Request) -> None:
         """Forget a request; the table keeps the entry of a keyed one that ran."""
-        if request.state in (State.RUNNING, State.AT_CALL, State.CALLING, State.PAUSED):
-            self.memory -= self.settings.run_factor * request.footprint
-        elif request.state != State.DONE:
-            self.memory -= request.footprint
-        if request.state == State.RUNNING:
-            self.on_core -= 1
-        elif request.state == State.AT_CALL:
-            self.at_call -= 1
-        elif request.state == State.CALLING:
-            self.calls -= 1
+        self._move(request, State.DONE)
         if not request.ran and request.id in self.kept:
             self.out.append(i.Forget(request.id))
             self._drop_key(request.id)
@@ -605,10 +594,9 @@
             end = request.read_at + cls.window
             self.dropped[request.id] = end
             heapq.heappush(self.kept_ends, (end, request.id))
-        request.state = State.DONE
         request.answered = True
         self.hold.pop(request.id, None)
-        self.requests.pop(request.id, None)
+        del self.requests[request.id]
 
     def _drop_key(self, id_: int) -> None:
         if self.kept.pop(id_, None) is not None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -391,3 +391,15 @@
     world.finish(jobs[0])
     assert jobs[2].state == "running"
     assert world.controller.call_cap > 1.0
+
+
+def test_a_call_that_never_comes_back_is_left_out_in_time_for_the_aim() -> None:
+    world = World(settings(below=i.Below.TIER, classes=CALLS))
+    job = world.arrive(0, 1)
+    world.need_call(job)
+    call = next(a for a in world.log if isinstance(a, i.Call))
+    assert call.limit < 1.0  # the aim, while the due time is three seconds off
+    world.now += call.limit
+    world.end_call(job, i.Outcome.TIMEOUT)
+    assert job.state == "running"  # the call was left out; the answer can still be in time
+    assert world.now < job.arrived + 1.0
