--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -22,6 +22,7 @@
 PERIOD = 0.1  # control interval, short against any wait aim worth having, long against its own cost
 WAIT_PART = 0.4  # of the time an aim leaves beside the run, how much may be spent waiting
 GAIN_P, GAIN_I = 0.3, 0.5  # share lost at once, and per second, for a wait one aim too long
+WAIT_MOST = 3.0  # longest wait that the loop sees, in wait aims: what is given up counts as this
 SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
 RANK_STEP = 1.0  # refusals owed that protect a caller from those with the next higher counter
 
@@ -322,7 +323,7 @@
             self._note_wait(now, request)
         signal = self.wait_sum / self.wait_count if self.wait_count else 0.0
         self.wait_sum, self.wait_count = 0.0, 0
-        error = min(signal, 3.0) - 1
+        error = min(signal, WAIT_MOST) - 1
         self.share -= GAIN_P * (error - self.error) + GAIN_I * error * PERIOD
         self.share = min(1.0, max(SHARE_MIN, self.share))
         self.error = error
@@ -457,7 +458,8 @@
         if request.answered:
             return
         if not request.ran:
-            self._note_wait(now, request)
+            self.wait_sum += WAIT_MOST  # however short: the time that it lacked counts as waited
+            self.wait_count += 1
             self._refuse(request, None, stay=True)
             return
         self.out.append(i.Fail(request.id))
