--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,7 +28,8 @@
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
-FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
+FIT, FIT_MORE = 1.0, 2.0  # expected runs that must fit into the time left of what waited, and more by the
+# part not admitted: in overload there is something surer to run instead
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
 SPARE = 0.3  # idle part of the cores that gives the heaviest caller all that it needs
 
@@ -412,18 +413,19 @@
         run = max(self._expected(request), 1e-6)
         worth = cls.worth if self.settings.worth_by_work else cls.worth / run
         slack = request.aim_at - now - run
-        if now + FIT * run > request.aim_at:
+        if now + run > request.aim_at:
             return worth * cls.late_worth
         return worth * math.exp(-max(0.0, slack) / (ATC_SPAN * max(self.mean_run)))
 
     def _dispatch(self, now: float) -> None:
         if not self.hold:
             return
+        fit = FIT + FIT_MORE * (1 - self.share)
         for request in list(self.hold.values()):
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
             waited = now > request.read_at  # expectations are rough: what finds a free core is tried
-            if now >= limit or (waited and now + FIT * self._expected(request) > limit):
+            if now >= limit or (waited and now + fit * self._expected(request) > limit):
                 self._give_up(now, request)
         if not self.hold or not self._room():
             return
