--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,7 +28,7 @@
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
-FIT = 0.8  # mean errors of expectation that must fit beside the expected run of what has waited
+FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
 SPARE = 0.3  # idle part of the cores that gives the heaviest caller all that it needs
 
@@ -153,7 +153,6 @@
         self.kept_ends: list[tuple[float, int]] = []
         self.dropped: dict[int, float] = {}  # keyed requests turned away unrun, until their window ends
         self.mean_run = [c.aim * 0.25 for c in s.classes]
-        self.run_error = [1.0 for _ in s.classes]  # mean error of expectations, in expected runs
         self.mean_hint = [0.0 for _ in s.classes]  # of the runs in mean_run that carried a hint
         self.hinted_run = [0.0 for _ in s.classes]
         self.count = [0] * (State.DONE + 1)  # requests in each state
@@ -407,17 +406,13 @@
             return request.hint * (self.hinted_run[cls] / known if known > 0 else 1.0)
         return self.mean_run[cls]
 
-    def _safe_run(self, request: Request) -> float:
-        """A time that the run will likely keep to: expected, and a part of how far expectations erred."""
-        return self._expected(request) * (1 + FIT * self.run_error[request.cls])
-
     def _index(self, now: float, request: Request) -> float:
         """Apparent tardiness cost: worth for each unit of work, rising as the last start comes near."""
         cls = self.settings.classes[request.cls]
         run = max(self._expected(request), 1e-6)
         worth = cls.worth if self.settings.worth_by_work else cls.worth / run
         slack = request.aim_at - now - run
-        if now + self._safe_run(request) > request.aim_at:
+        if now + FIT * run > request.aim_at:
             return worth * cls.late_worth
         return worth * math.exp(-max(0.0, slack) / (ATC_SPAN * max(self.mean_run)))
 
@@ -428,7 +423,7 @@
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
             waited = now > request.read_at  # expectations are rough: what finds a free core is tried
-            if now >= limit or (waited and now + self._safe_run(request) > limit):
+            if now >= limit or (waited and now + FIT * self._expected(request) > limit):
                 self._give_up(now, request)
         if not self.hold or not self._room():
             return
@@ -465,7 +460,7 @@
         if not request.ran:
             self.wait_sum += WAIT_MOST  # however short: the time that it lacked counts as waited
             self.wait_count += 1
-            self._refuse(request, None, stay=True)
+            self._refuse(request, None, stay=self.share < 1)
             return
         self.out.append(i.Fail(request.id))
         request.answered = True
@@ -512,8 +507,6 @@
 
     def _learn(self, request: Request, spent: float) -> None:
         cls = request.cls
-        error = abs(spent / max(self._expected(request), 1e-6) - 1)
-        self.run_error[cls] += GAP_GAIN * (min(error, 2.0) - self.run_error[cls])
         self.mean_run[cls] += GAP_GAIN * (spent - self.mean_run[cls])
         if request.hint > 0:
             # means apart, not a mean of ratios: a rough hint near zero would rule that
