--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,7 +28,8 @@
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
-FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
+FIT = 1.5  # expected runs that must fit into the time left, or better chances go first: runs vary, slow down
+HOPELESS = 0.8  # the same below which what has waited is given up: until then it may find a core free
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
 SPARE = 0.3  # idle part of the cores that gives the heaviest caller all that it needs
 
@@ -423,7 +424,7 @@
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
             waited = now > request.read_at  # expectations are rough: what finds a free core is tried
-            if now >= limit or (waited and now + FIT * self._expected(request) > limit):
+            if now >= limit or (waited and now + HOPELESS * self._expected(request) > limit):
                 self._give_up(now, request)
         if not self.hold or not self._room():
             return
@@ -460,7 +461,7 @@
         if not request.ran:
             self.wait_sum += WAIT_MOST  # however short: the time that it lacked counts as waited
             self.wait_count += 1
-            self._refuse(request, None, stay=self.share < 1)
+            self._refuse(request, None, stay=True)
             return
         self.out.append(i.Fail(request.id))
         request.answered = True
