--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,8 +28,7 @@
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
-FIT = 1.5  # expected runs that must fit into the time left, or better chances go first: runs vary, slow down
-HOPELESS = 0.8  # the same below which what has waited is given up: until then it may find a core free
+FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
 SPARE = 0.3  # idle part of the cores that gives the heaviest caller all that it needs
 
@@ -235,7 +234,7 @@
         return request
 
     def _caller_key(self, event: i.Arrival) -> tuple[int, ...]:
-        return (event.caller,)
+        return (event.caller, event.tenant)
 
     def _must_refuse(self, now: float, request: Request) -> bool:
         """What no admission share can let in: no time, no room, leaving, or standing still."""
@@ -424,7 +423,7 @@
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
             waited = now > request.read_at  # expectations are rough: what finds a free core is tried
-            if now >= limit or (waited and now + HOPELESS * self._expected(request) > limit):
+            if now >= limit or (waited and now + FIT * self._expected(request) > limit):
                 self._give_up(now, request)
         if not self.hold or not self._room():
             return
