--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -234,7 +234,7 @@
         return request
 
     def _caller_key(self, event: i.Arrival) -> tuple[int, ...]:
-        return (event.caller, event.tenant)
+        return (event.caller,)
 
     def _must_refuse(self, now: float, request: Request) -> bool:
         """What no admission share can let in: no time, no room, leaving, or standing still."""
