--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -319,13 +319,38 @@
     world.drain(2.0)
     assert not world.healthy
     world.advance(0.5)
-    assert world.arrive(0, 1).state == "running"
+    within = world.arrive(0, 1)
+    assert within.state == "running"
+    world.finish(within)
     world.advance(0.6)
-    assert world.arrive(0, 1).answers == 1
+    after = world.arrive(0, 1)  # a core is free, but the grace of one second is over
+    assert (after.answers, after.runs) == (1, 0)
     world.advance(0.899)
     assert running.answers == 1
 
 
+def test_a_run_that_would_overfill_the_memory_waits_for_room() -> None:
+    world = World(settings(memory_kb=200.0, cores=4))
+    first, second = world.arrive(0, 1, kb=30.0), world.arrive(0, 1, kb=30.0)
+    assert (first.state, second.state) == ("running", "held")
+    world.finish(first)
+    assert second.state == "running"
+
+
+def test_calls_that_return_together_do_not_crowd_the_cores() -> None:
+    patient = i.ClassSettings(5.0, 9.0, calls=True)
+    world = World(settings(below=i.Below.TIER, classes=(patient,), fall_multiple=3.0))
+    for _ in range(12):
+        world.arrive(0, 1)
+        for job in [j for j in world.jobs.values() if j.state == "running"]:
+            world.need_call(job)
+    calling = [j for j in world.jobs.values() if j.state == "calling"]
+    assert len(calling) >= 3
+    for job in calling:
+        world.end_call(job, i.Outcome.OK)  # the oracle checks the crowd at each return
+    assert world.on_core() >= 3
+
+
 # Health and advice
 
 
