--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -67,7 +67,7 @@
     """One request that was read here."""
 
     __slots__ = (
-        "aim_at", "answered", "arrived", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
+        "aim_at", "answered", "arrived", "begun", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
         "state", "waiters",
     )  # fmt: skip
 
@@ -79,6 +79,7 @@
         self.answered = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
         self.waiters = 0
+        self.begun = now
 
 
 class Caller:
@@ -450,7 +451,7 @@
         self._note_wait(now, request)
         self.hold.pop(request.id, None)
         self._move(request, State.RUNNING)
-        request.ran = True
+        request.ran, request.begun = True, now
         self.out.append(i.Run(request.id))
 
     def _give_up(self, now: float, request: Request) -> None:
@@ -462,6 +463,8 @@
             self.wait_count += 1
             self._refuse(request, None, stay=True)
             return
+        if request.state != State.REUSING:  # a run takes at least this long: ends alone would look short
+            self._learn(request, now - request.begun)
         self.out.append(i.Fail(request.id))
         request.answered = True
         if request.state == State.REUSING:
