What finds a free core must fit half its expected time as cores fill up

Should also cover any request with a good hint and too little time. Harm: very rough hints on full cores.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -29,8 +29,9 @@
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
 FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
+FIT_FRESH = 0.5  # the same for what finds a core free, as the cores fill up; with cores to spare all is tried
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
-SPARE = 0.3  # idle part of the cores that gives the heaviest caller all that it needs
+SPARE = 0.3  # idle part of the cores with which nothing is held back: callers, or requests of small hope
 
 # Guards
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
@@ -67,7 +68,7 @@
     """One request that was read here."""
 
     __slots__ = (
-        "aim_at", "answered", "arrived", "begun", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
+        "aim_at", "answered", "arrived", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
         "state", "waiters",
     )  # fmt: skip
 
@@ -79,7 +80,6 @@
         self.answered = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
         self.waiters = 0
-        self.begun = now
 
 
 class Caller:
@@ -423,8 +423,8 @@
         for request in list(self.hold.values()):
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
-            waited = now > request.read_at  # expectations are rough: what finds a free core is tried
-            if now >= limit or (waited and now + FIT * self._expected(request) > limit):
+            fit = FIT if now > request.read_at else FIT_FRESH * (1 - min(1.0, self.idle / SPARE))
+            if now + fit * self._expected(request) > limit:
                 self._give_up(now, request)
         if not self.hold or not self._room():
             return
@@ -451,7 +451,7 @@
         self._note_wait(now, request)
         self.hold.pop(request.id, None)
         self._move(request, State.RUNNING)
-        request.ran, request.begun = True, now
+        request.ran = True
         self.out.append(i.Run(request.id))
 
     def _give_up(self, now: float, request: Request) -> None:
@@ -463,8 +463,6 @@
             self.wait_count += 1
             self._refuse(request, None, stay=True)
             return
-        if request.state != State.REUSING:  # a run takes at least this long: ends alone would look short
-            self._learn(request, now - request.begun)
         self.out.append(i.Fail(request.id))
         request.answered = True
         if request.state == State.REUSING:
