--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -420,10 +420,11 @@
     def _dispatch(self, now: float) -> None:
         if not self.hold:
             return
+        busy = 1 - min(1.0, self.idle / SPARE)
         for request in list(self.hold.values()):
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
-            fit = FIT if now > request.read_at else FIT_FRESH * (1 - min(1.0, self.idle / SPARE))
+            fit = busy * (FIT if now > request.read_at else FIT_FRESH)
             if now + fit * self._expected(request) > limit:
                 self._give_up(now, request)
         if not self.hold or not self._room():
