--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,7 +28,7 @@
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
-FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
+FIT = 2.2  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
 FIT_FRESH = 0.5  # the same for what finds a core free, as the cores fill up; with cores to spare all is tried
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
 SPARE = 0.3  # idle part of the cores with which nothing is held back: callers, or requests of small hope
