Every refusal advises the caller's own interval too, give-ups included

The design asks for the larger of headway and own interval on each overload refusal; give-ups told the headway alone.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,7 +28,7 @@
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
-FIT = 2.2  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
+FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
 FIT_FRESH = 0.5  # the same for what finds a core free, as the cores fill up; with cores to spare all is tried
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
 SPARE = 0.3  # idle part of the cores with which nothing is held back: callers, or requests of small hope
@@ -64,15 +64,25 @@
     HELD, REUSING, RUNNING, AT_CALL, CALLING, DONE = range(6)
 
 
+class Caller:
+    """One entry of the caller list."""
+
+    __slots__ = ("counter", "gap", "last")
+
+    def __init__(self, now: float) -> None:
+        self.counter, self.gap, self.last = 0.0, 0.0, now
+
+
 class Request:
     """One request that was read here."""
 
     __slots__ = (
-        "aim_at", "answered", "arrived", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
+        "aim_at", "answered", "arrived", "caller", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
         "state", "waiters",
     )  # fmt: skip
 
-    def __init__(self, event: i.Arrival, now: float, due: float, aim_at: float) -> None:
+    def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
+        self.caller = caller
         self.id, self.cls = event.id, event.cls
         self.hint, self.footprint = _sane(event.hint), _sane(event.footprint_kb)
         self.read_at, self.arrived, self.due, self.aim_at = now, now - _sane(event.age), due, aim_at
@@ -82,15 +92,6 @@
         self.waiters = 0
 
 
-class Caller:
-    """One entry of the caller list."""
-
-    __slots__ = ("counter", "gap", "last")
-
-    def __init__(self, now: float) -> None:
-        self.counter, self.gap, self.last = 0.0, 0.0, now
-
-
 class CallerList:
     """Callers, most recently used first, with headway counters (leaky buckets)."""
 
@@ -205,31 +206,31 @@
         if not 0 <= event.cls < len(self.settings.classes):  # an answer is owed all the same
             self.out.append(i.Refuse(event.id))
             return
-        request = self._new_request(now, event)
         caller = self.callers.arrive(self._caller_key(event), now)
+        request = self._new_request(now, event, caller)
         self.lag += GAP_GAIN * (_sane(event.age) - self.lag)
         self.moved += 1
         keyed = self.settings.classes[event.cls].repeat is i.Repeat.KEYED
         if keyed and event.same_as and event.same_as not in self.dropped:
             self._repeat(now, request, event.same_as)
         elif self._must_refuse(now, request):
-            self._refuse(request, caller, stay=False)
+            self._refuse(request, stay=False)
         elif self._shed(caller):
-            self._refuse(request, caller, stay=True)
+            self._refuse(request, stay=True)
         else:
             self.callers.charge(caller)
             self._hold(now, request, keyed)
         if request.state != State.DONE:
             self.out.append(i.SetTimer(max(0.0, request.due - now), request.id))
 
-    def _new_request(self, now: float, event: i.Arrival) -> Request:
+    def _new_request(self, now: float, event: i.Arrival, caller: Caller) -> Request:
         cls = self.settings.classes[event.cls]
         reached, budget = now - _sane(event.age), _sane(event.budget)
         due = now + budget if budget > 0 else max(now, reached + cls.deadline)
         margin = MARGIN_TICKS * self.settings.tick
         aim = min(cls.deadline, cls.aim + cls.aim_stretch * _sane(event.hint))
         due = max(now, min(due, self.stop_at) - margin)
-        request = Request(event, now, due, min(due, reached + aim))
+        request = Request(event, caller, now, due, min(due, reached + aim))
         self.requests[request.id] = request
         self._move(request, State.HELD)
         return request
@@ -257,15 +258,15 @@
         self.debt -= 1
         return True
 
-    def _advice(self, caller: Caller | None) -> float:
+    def _advice(self, caller: Caller) -> float:
         """Retry-after: the larger of the minimum average headway and the caller's own mean interval."""
         if not self.settings.retry_after:
             return 0.0
-        wish = max(self.callers.mah(), caller.gap if caller else 0.0)
+        wish = max(self.callers.mah(), caller.gap)
         return min(wish, self.settings.max_retry_after)
 
-    def _refuse(self, request: Request, caller: Caller | None, stay: bool) -> None:
-        self.out.append(i.Refuse(request.id, self._advice(caller), stay))
+    def _refuse(self, request: Request, stay: bool) -> None:
+        self.out.append(i.Refuse(request.id, self._advice(request.caller), stay))
         self._end(request)
 
     def _hold(self, now: float, request: Request, keyed: bool) -> None:
@@ -462,7 +463,7 @@
         if not request.ran:
             self.wait_sum += WAIT_MOST  # however short: the time that it lacked counts as waited
             self.wait_count += 1
-            self._refuse(request, None, stay=True)
+            self._refuse(request, stay=True)
             return
         self.out.append(i.Fail(request.id))
         request.answered = True
