--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -332,7 +332,8 @@
 
     def _note_wait(self, now: float, request: Request) -> None:
         cls = self.settings.classes[request.cls]
-        allowed = WAIT_PART * max(cls.aim - self._expected(request), 0.25 * cls.aim)
+        aim = cls.aim / (1 + self.settings.tier)  # the tiers that a request passes share its time evenly
+        allowed = WAIT_PART * max(aim - self._expected(request), 0.25 * aim)
         self.wait_sum += (now - request.read_at) / allowed
         self.wait_count += 1
 
