While calls are short, those that may be left out are

Should also cover a slow shared dependency. Harm: a calls limit cut too far costs part of the worth.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -435,7 +435,8 @@
         for request in order:
             if not self._room():
                 return
-            if self.settings.classes[request.cls].calls and self._at_calls() >= self.call_cap:
+            cls = self.settings.classes[request.cls]
+            if cls.calls and not cls.skip_worth and self._at_calls() >= self.call_cap:
                 continue
             extra = (self.settings.run_factor - 1) * request.footprint
             if self.memory + extra <= MEMORY_PART * self.settings.memory_kb:
@@ -524,6 +525,8 @@
         left = request.due - now
         if left <= 0:
             self._give_up(now, request)
+        elif self._at_calls() > self.call_cap and self.settings.classes[request.cls].skip_worth > 0:
+            self._skip(request)  # calls are short: those that cannot be left out need them more
         elif self._call_room():
             self._move(request, State.CALLING)
             self.out.append(i.Call(request.id, min(left, self._patience(now, request))))
@@ -571,13 +574,16 @@
     def _call_failed(self, now: float, request: Request, outcome: i.Outcome) -> None:
         """Leave the call out where that keeps worth; repeat only what is known not to have run."""
         if self.settings.classes[request.cls].skip_worth > 0:
-            self._move(request, State.RUNNING)
-            self.out.append(i.Skip(request.id))
+            self._skip(request)
         elif outcome in i.NEVER_RAN and request.due - now > 2 * CALL_BACKOFF:
             self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
         else:
             self._give_up(now, request)
 
+    def _skip(self, request: Request) -> None:
+        self._move(request, State.RUNNING)
+        self.out.append(i.Skip(request.id))
+
     # Ends
 
     def _move(self, request: Request, state: int) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -435,3 +435,26 @@
         world = World(settings(worth_by_work=True))
         world.advance(0.2, cpu=cpu)
         assert world.arrive(0, 1, hint=5.0).state == state
+
+
+def test_while_calls_are_short_those_that_may_be_left_out_are() -> None:
+    world = World(settings(below=i.Below.TIER, classes=CALLS))
+    world.controller.call_cap = 1.0
+    must, may = world.arrive(1, 1, key=1), world.arrive(0, 1)
+    world.need_call(must)
+    world.need_call(may)
+    assert must.state == "calling"
+    assert i.Skip(may.id) in world.log
+    later = world.arrive(1, 1, key=2)
+    assert later.state == "held"  # its call cannot be left out and the limit is reached
+
+
+def test_a_lower_tier_sheds_at_shorter_waits() -> None:
+    shares = []
+    for tier in (0, 1):
+        world = World(settings(tier=tier))
+        for n in range(12):
+            world.arrive(0, n % 2)
+        world.advance(0.3)
+        shares.append(world.controller.share)
+    assert shares[1] < shares[0]
