--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -25,7 +25,6 @@
 WAIT_MOST = 3.0  # longest wait that the loop sees, in wait aims: what is given up counts as this
 SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
 RANK_STEP = 1.0  # refusals owed that protect a caller from those with the next higher counter
-LOCAL_PACE = 4.0  # reads and ends for each end above which this server has far more than a fleet short of room
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
@@ -267,9 +266,7 @@
         return min(wish, self.settings.max_retry_after)
 
     def _refuse(self, request: Request, stay: bool) -> None:
-        """Refuse; `stay` asks not to try elsewhere, which is dropped where the trouble looks local."""
-        local = self.pace > LOCAL_PACE * self.callers.rate
-        self.out.append(i.Refuse(request.id, self._advice(request.caller), stay and not local))
+        self.out.append(i.Refuse(request.id, self._advice(request.caller), stay))
         self._end(request)
 
     def _hold(self, now: float, request: Request, keyed: bool) -> None:
