--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -458,3 +458,13 @@
         world.advance(0.3)
         shares.append(world.controller.share)
     assert shares[1] < shares[0]
+
+
+def test_moot_and_cancelled_ends_free_the_core_and_owe_at_most_one_answer() -> None:
+    for outcome in (i.Outcome.MOOT, i.Outcome.CANCELLED):
+        world = World(settings())
+        job, other, waiting = (world.arrive(0, 1) for _ in range(3))
+        assert waiting.state == "held"
+        world.finish(job, outcome)  # its caller left without a word
+        assert sum(isinstance(a, i.Fail) and a.id == job.id for a in world.log) == 1
+        assert (other.state, waiting.state) == ("running", "running")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -101,7 +101,7 @@
 }
 NAN = float("nan")
 NOISE: list[i.Event] = [
-    i.RunEnded(99999, i.Outcome.OK, -1.0),
+    i.RunEnded(99999, i.Outcome.MOOT, -1.0),
     i.CallEnded(99999, i.Outcome.TIMEOUT, NAN),
     i.NeedsCall(99999),
     i.Gone(99999),
