--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -172,6 +172,7 @@
         self.idle = 0.0  # part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
+        self.judged_at = -math.inf
         self.call_mean = self.call_dev = 0.0
         self.call_cap, self.call_cut_at = CALLS_PER_CORE * s.cores, 0.0
         self.drain_at = self.stop_at = math.inf
@@ -423,7 +424,10 @@
         if not self.hold:
             return
         busy = 1 - min(1.0, self.idle / SPARE)
-        for request in list(self.hold.values()):
+        newest = next(reversed(self.hold.values()))  # the others were judged if this instant was seen
+        judge = [newest] if now == self.judged_at else list(self.hold.values())
+        self.judged_at = now
+        for request in judge:
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
             fit = busy * (FIT if now > request.read_at else FIT_FRESH)
