--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -146,7 +146,7 @@
         if not settings.classes:
             raise ValueError("settings: no classes of request")
         self.settings = s = settings
-        self.seed = seed
+        self.margin = MARGIN_TICKS * s.tick  # answers go out this long before they are due
         self.out: list[i.Action] = []
         self.callers = CallerList()
         self.requests: dict[int, Request] = {}
@@ -207,7 +207,7 @@
         if not 0 <= event.cls < len(self.settings.classes):  # an answer is owed all the same
             self.out.append(i.Refuse(event.id))
             return
-        caller = self.callers.arrive(self._caller_key(event), now)
+        caller = self.callers.arrive((event.caller,), now)
         request = self._new_request(now, event, caller)
         self.lag += GAP_GAIN * (_sane(event.age) - self.lag)
         self.moved += 1
@@ -228,17 +228,13 @@
         cls = self.settings.classes[event.cls]
         reached, budget = now - _sane(event.age), _sane(event.budget)
         due = now + budget if budget > 0 else max(now, reached + cls.deadline)
-        margin = MARGIN_TICKS * self.settings.tick
         aim = min(cls.deadline, cls.aim + cls.aim_stretch * _sane(event.hint))
-        due = max(now, min(due, self.stop_at) - margin)
+        due = max(now, min(due, self.stop_at) - self.margin)
         request = Request(event, caller, now, due, min(due, reached + aim))
         self.requests[request.id] = request
         self._move(request, State.HELD)
         return request
 
-    def _caller_key(self, event: i.Arrival) -> tuple[int, ...]:
-        return (event.caller,)
-
     def _must_refuse(self, now: float, request: Request) -> bool:
         """What no admission share can let in: no time, no room, leaving, or standing still."""
         s = self.settings
@@ -628,9 +624,8 @@
     def _drain(self, now: float, left: float) -> None:
         """Leave: run nothing that comes after the grace and answer everything before the stop."""
         self.drain_at, self.stop_at = now, now + _sane(left)
-        margin = MARGIN_TICKS * self.settings.tick
         for request in list(self.requests.values()):
-            request.due = min(request.due, self.stop_at - margin)
+            request.due = min(request.due, self.stop_at - self.margin)
             request.aim_at = min(request.aim_at, request.due)
             if request.due <= now:
                 self._give_up(now, request)
