Run cap grows only when cores idled though taken all the while

Cause: the gauge of the cores looks back half a second; two cores idle now and then by chance, and the cap grew to 3.5 runs a core, past which all slow down. Tried beside it and not kept: rank as a part, 4 mean runs for standing still, twice the cap in hand, idle connections closed at once for all callers.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -31,6 +31,7 @@
 FIT = 1.5  # expected runs that must still fit into the time left of what has waited: runs vary and slow down
 FIT_FRESH = 0.5  # the same for what finds a core free, as the cores fill up; with cores to spare all is tried
 IDLE_CORES = 0.9  # busy part of the cores under which more running work would help
+GAUGE_SPAN = 0.5  # seconds that the gauge of the cores looks back: taken for less, it speaks of other runs
 SPARE = 0.3  # idle part of the cores with which nothing is held back: callers, or requests of small hope
 
 # Guards
@@ -190,7 +191,7 @@
             case i.Drain():
                 self._drain(now, event.left)
             case i.Started():
-                self.started_at = self.progress_at = now
+                self.started_at = self.progress_at = self.full_since = now
                 self.out += [i.SetTimer(PERIOD, TICK_TOKEN), i.Health(True)]
             case _:
                 request = self.requests.get(event.id)
@@ -311,7 +312,7 @@
         self._expire_keys(now)
         self._watch_progress(now)
         self._adjust_share(now)
-        self._adjust_cap(gauges)
+        self._adjust_cap(now, gauges)
         calls = self.count[State.CALLING]
         self.call_load += (calls - self.call_load) * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
         self._publish(now)
@@ -334,11 +335,15 @@
         self.wait_sum += (now - request.read_at) / allowed
         self.wait_count += 1
 
-    def _adjust_cap(self, gauges: dict[str, float]) -> None:
-        """Concurrency limit: up while cores idle and work waits, back to the cores once they are busy."""
+    def _adjust_cap(self, now: float, gauges: dict[str, float]) -> None:
+        """Concurrency limit: up while cores idle though enough runs (they wait for disk), else back.
+
+        Only what was taken for all that the gauge looks back counts: two cores idle now and then by
+        chance, and every run past the cores slows the others down.
+        """
         busy = gauges.get("cpu_busy", 1.0)
         self.idle = 1 - busy
-        full = self.count[State.RUNNING] >= int(self.cap)
+        full = self.count[State.RUNNING] >= int(self.cap) and now - self.full_since > GAUGE_SPAN
         if busy < IDLE_CORES and self.hold and full and not self.stalled:
             self.cap = min(self.cap * 1.1, self._crowd())
         elif busy >= IDLE_CORES:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -185,6 +185,12 @@
         running = [j for j in world.jobs.values() if j.state == "running"]
         world.finish(running[0])  # progress, so this is not standing still
         world.arrive(0, 1)
+    assert world.controller.cap == 2.0  # taken for less than the gauge looks back: it may speak of before
+    for _ in range(9):
+        world.advance(0.05, cpu=0.3)
+        running = [j for j in world.jobs.values() if j.state == "running"]
+        world.finish(running[0])
+        world.arrive(0, 1)
     assert world.controller.cap > 2.2
 
 
