Close idle connections where callers rarely come back; callers told apart at constant cost

Ranking the list for each arrival and the search for the heaviest caller at each tick are gone: counters are held against the mean counter.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -16,6 +16,7 @@
 # Caller list
 CEILING = 8.0  # headways a caller may run ahead of its fair share: the source's longest burst
 LIST_SIZE = 600  # "a few hundred entries" in the source; far above the routers of one fleet
+TOP_LOSS = 1 / 64  # of the heaviest caller's part, forgotten at each arrival
 GAP_GAIN = 0.125  # weight of a new sample in running means: about the last eight, as in TCP's RTT mean
 
 # Admission
@@ -24,7 +25,7 @@
 GAIN_P, GAIN_I = 0.3, 0.5  # share lost at once, and per second, for a wait one aim too long
 WAIT_MOST = 3.0  # longest wait that the loop sees, in wait aims: what is given up counts as this
 SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
-RANK_STEP = 1.0  # refusals owed that protect a caller from those with the next higher counter
+RANK_STEP = 3.0  # refusals owed, beside one, that protect a caller whose counter is empty
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
@@ -35,6 +36,8 @@
 SPARE = 0.3  # idle part of the cores with which nothing is held back: callers, or requests of small hope
 
 # Guards
+RARE_USE = 3.0  # idle times between a fair caller's requests: two of three connections close unused then
+CONNECTION_KEPT = 0.05  # seconds; long enough for an answer's caller to send the next request at once
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
 CROWD_PART = 0.7  # of the crowd that kills, reached by choice
 CALLS_PER_CORE = 3.0  # most requests waiting on calls for each core; they return to the cores together
@@ -98,7 +101,8 @@
 
     def __init__(self) -> None:
         self.entries: OrderedDict[tuple[int, ...], Caller] = OrderedDict()
-        self.rate = 0.0  # completions a second
+        self.rate, self.usual = 0.0, 0.0  # completions a second; mean counter of callers as they arrive
+        self.gap, self.last, self.top = 0.0, 0.0, 1.0  # of all arrivals; the heaviest caller's part of them
 
     def mah(self) -> float:
         """Minimum average headway: the mean interval at which a fair share of completions comes."""
@@ -117,6 +121,11 @@
             caller.gap += GAP_GAIN * (elapsed - caller.gap) if caller.gap else elapsed
             caller.last = now
         self.entries.move_to_end(key, last=False)
+        self.usual += GAP_GAIN * (caller.counter - self.usual)
+        self.gap += GAP_GAIN * (now - self.last - self.gap) if self.last else 0.0
+        self.last = now
+        part = min(1.0, self.gap / caller.gap) if caller.gap else 0.0
+        self.top = max(part, self.top * (1 - TOP_LOSS))
         return caller
 
     def over(self, caller: Caller) -> bool:
@@ -128,14 +137,11 @@
         if not self.over(caller):
             caller.counter += self.mah()
 
-    def heaviest(self, now: float) -> float:
-        """The largest caller's part of all arrivals; 1 while nothing is known."""
-        rates = [1 / max(c.gap, now - c.last, 1e-3) for c in self.entries.values() if c.gap]
-        return max(rates) / sum(rates) if rates else 1.0
-
-    def rank(self, caller: Caller) -> int:
-        """How many callers have a higher counter."""
-        return sum(1 for other in self.entries.values() if other.counter > caller.counter)
+    def protection(self, caller: Caller) -> float:
+        """Refusals to be owed before this caller is refused: none over the ceiling, more for light ones."""
+        if self.over(caller):
+            return 0.0
+        return 1 + RANK_STEP * max(0.0, 1 - caller.counter / self.usual if self.usual > 0 else 1.0)
 
 
 class Controller:
@@ -160,8 +166,7 @@
         self.hinted_run = [0.0 for _ in s.classes]
         self.count = [0] * (State.DONE + 1)  # requests in each state
         self.memory = 0.0
-        self.cap = float(s.cores)
-        self.share, self.debt, self.error = 1.0, 0.0, 0.0
+        self.cap, self.share, self.debt, self.error = float(s.cores), 1.0, 0.0, 0.0
         self.wait = 0.0  # recent hold wait, in wait aims
         self.completed = self.moved = 0
         self.pace = self.best_pace = 0.0  # reads and ends of runs a second
@@ -170,6 +175,7 @@
         self.lag = 0.0  # mean time that requests spent unread
         self.tight = min(c.aim for c in s.classes)
         self.published = -1.0
+        self.closing = False  # idle connections are closed at once
         self.idle = 0.0  # part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.call_load = 0.0
@@ -249,9 +255,8 @@
         if self.share >= 1:
             self.debt = 0.0
             return False
-        self.debt = min(self.debt + 1 - self.share, float(len(self.callers.entries)) + 1)
-        owed = 0.0 if self.callers.over(caller) else 1 + RANK_STEP * self.callers.rank(caller)
-        if self.debt < owed:
+        self.debt = min(self.debt + 1 - self.share, 2 + RANK_STEP)
+        if self.debt < self.callers.protection(caller):
             return False
         self.debt -= 1
         return True
@@ -285,9 +290,8 @@
         if self.memory > MEMORY_PART * self.settings.memory_kb:
             self._give_up(now, request)
             return
-        first = self.requests.get(original)
-        if first:
-            first.waiters += 1
+        if original in self.requests:
+            self.requests[original].waiters += 1
         self.out.append(i.Reuse(request.id))
 
     # Control loop
@@ -306,15 +310,15 @@
 
     def _tick(self, now: float, gauges: dict[str, float]) -> None:
         self.out.append(i.SetTimer(PERIOD, TICK_TOKEN))
-        blend = PERIOD / RATE_SPAN
-        self.callers.rate += blend * (self.completed / PERIOD - self.callers.rate)
+        self.callers.rate += PERIOD / RATE_SPAN * (self.completed / PERIOD - self.callers.rate)
         self.completed = 0
         self._expire_keys(now)
         self._watch_progress(now)
         self._adjust_share(now)
         self._adjust_cap(now, gauges)
-        calls = self.count[State.CALLING]
-        self.call_load += (calls - self.call_load) * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
+        self._close_idle()
+        more = self.count[State.CALLING] - self.call_load
+        self.call_load += more * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
         self._publish(now)
 
     def _adjust_share(self, now: float) -> None:
@@ -339,11 +343,8 @@
         self.wait += GAP_GAIN * (min(wait, WAIT_MOST) - self.wait)
 
     def _adjust_cap(self, now: float, gauges: dict[str, float]) -> None:
-        """Concurrency limit: up while cores idle though enough runs (they wait for disk), else back.
-
-        Only what was taken for all that the gauge looks back counts: two cores idle now and then by
-        chance, and every run past the cores slows the others down.
-        """
+        """Concurrency limit: up while cores idle though taken for all that the gauge looks back (waits for
+        disk; small servers idle now and then by chance), else back: runs past the cores slow each other."""
         busy = gauges.get("cpu_busy", 1.0)
         self.idle = 1 - busy
         full = self.count[State.RUNNING] >= int(self.cap) and now - self.full_since > GAUGE_SPAN
@@ -352,6 +353,18 @@
         elif busy >= IDLE_CORES:
             self.cap = max(float(self.settings.cores), self.cap * 0.95)
 
+    def _close_idle(self) -> None:
+        """Close connections at once where a fair caller comes back long after callers would close them.
+
+        Guards against tables full of callers that rarely send: others find no room while cores idle, and
+        a full table takes cores. It can do harm to the few that send often, by a handshake for each.
+        """
+        s = self.settings
+        rare = s.callers > RARE_USE * s.idle * self.callers.rate > 0
+        if rare != self.closing:
+            self.closing = rare
+            self.out.append(i.CloseIdle(CONNECTION_KEPT if rare else 0.0))
+
     def _crowd(self) -> float:
         """Running requests that a server as warm as this one survives, with a margin."""
         s = self.settings
@@ -391,16 +404,13 @@
             waiting = self.callers.rate * WAIT_PART * self.tight
             even = 1 / max(1, s.callers)
             spare = min(1.0, self.idle / SPARE)
-            part = even + max(0.0, self.callers.heaviest(now) - even) * spare
+            part = even + max(0.0, self.callers.top - even) * spare
             value = self.share * ((self.cap + self._at_calls() + waiting) * part + spare)
             value = 0.0 if leaving else 0.1 if self.sick else value
-        elif s.advert is i.Advert.WEIGHT:
-            value = 0.0 if leaving else 0.1 if self.sick else self.share
-        elif s.advert is i.Advert.LEVEL:
-            value = 1.0 if leaving or self.sick else 1 - self.share
         else:
-            return
-        if abs(value - self.published) > 0.05 * abs(self.published):
+            value = 0.0 if leaving else 0.1 if self.sick else self.share
+            value = 1 - value if s.advert is i.Advert.LEVEL else value
+        if s.advert is not i.Advert.NONE and abs(value - self.published) > 0.05 * abs(self.published):
             self.published = value
             self.out.append(i.Publish(value))
 
@@ -475,15 +485,14 @@
             self._refuse(request, stay=True)
             return
         self.out.append(i.Fail(request.id))
+        self._leave(request)
+
+    def _leave(self, request: Request) -> None:
+        """Nobody waits any more: forget it, or stop its run where that can be done and no repeat needs it."""
         request.answered = True
-        if request.state == State.REUSING:
+        if request.state in (State.HELD, State.REUSING):
             self._end(request)
-        elif request.state == State.RUNNING:
-            self._halt(request)
-
-    def _halt(self, request: Request) -> None:
-        """Stop work that nobody waits for, where work can be stopped and no repeat depends on it."""
-        if self.settings.stop is not i.Stop.NONE and not request.waiters:
+        elif request.state == State.RUNNING and not request.waiters and self.settings.stop is not i.Stop.NONE:
             self.out.append(i.Halt(request.id))
 
     # Runs and calls
@@ -500,11 +509,7 @@
             case i.CallEnded() if request.state == State.CALLING:
                 self._call_ended(now, request, event)
             case i.Gone():
-                request.answered = True
-                if request.state in (State.HELD, State.REUSING):
-                    self._end(request)
-                elif request.state == State.RUNNING:
-                    self._halt(request)
+                self._leave(request)
 
     def _run_ended(self, now: float, request: Request, event: i.RunEnded) -> None:
         self.progress_at = now
@@ -549,9 +554,8 @@
     def _patience(self, now: float, request: Request) -> float:
         """How long a call may take: while its request can make its aim, at least as good calls do.
 
-        Guards against calls that never come back (a dead path, a hung server below): they would pin
-        memory and calls here until their due time while others get through. It can do harm where
-        answers after the aim are worth nearly as much and calls below are very uneven.
+        Guards against calls that never come back (a dead path, a hung server below), pinning memory and
+        calls here. It can do harm where late answers are worth much and calls below are very uneven.
         """
         usual = self.call_mean + CALL_DEVIATIONS * self.call_dev
         return max(usual, request.aim_at - now - REST_PART * self.mean_run[request.cls])
@@ -559,9 +563,8 @@
     def _adapt_calls(self, now: float, event: i.CallEnded) -> None:
         """Calls limit, additive up and multiplicative down: what fails below holds back what begins here.
 
-        Guards against a tier or dependency below that is short, slow or refusing, whatever the cause:
-        work waits in the hold, where it can be refused unrun, and not half done. It can do harm where
-        single calls fail at random though there is room.
+        Guards against a tier or dependency below that is short, slow or refusing: work waits in the hold,
+        to be refused unrun, not half done. It can do harm where single calls fail at random.
         """
         if event.outcome is i.Outcome.OK:
             spent = _sane(event.spent)
