Failing calls lower the admitted share; adaptive calls limit folded into it

Cause: with two cores two requests are at calls, below any limit worth adapting; fronts went on to begin work whose calls the tier below refused.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -41,7 +41,8 @@
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
 CROWD_PART = 0.7  # of the crowd that kills, reached by choice
 CALLS_PER_CORE = 3.0  # most requests waiting on calls for each core; they return to the cores together
-CALL_CUT, CALL_CUT_EVERY = 0.85, 0.2  # of the calls limit left after a failed call, at most every so often
+CALL_FAILS = 0.3  # part of calls failing that counts as a wait of one aim; each was tried elsewhere too
+CALL_GAIN = 1 / 16  # weight of a new call in it: about the last 16, a few seconds on a small server
 MARGIN_TICKS = 3  # answers go out this many ticks before they are due
 CALL_DEVIATIONS = 4.0  # a call is given up this many deviations over the mean time of good ones (RFC 6298)
 REST_PART = 0.5  # of a mean run that is left after its call
@@ -181,7 +182,7 @@
         self.call_load = 0.0
         self.judged_at = -math.inf
         self.call_mean = self.call_dev = 0.0
-        self.call_cap, self.call_cut_at = CALLS_PER_CORE * s.cores, 0.0
+        self.failing = self.called_at = 0.0  # recent part of calls that failed; when the last one ended
         self.drain_at = self.stop_at = math.inf
 
     # Entry
@@ -252,14 +253,10 @@
 
     def _shed(self, caller: Caller) -> bool:
         """The headway rule: below full admission, callers over the ceiling, then highest counters."""
-        if self.share >= 1:
-            self.debt = 0.0
-            return False
-        self.debt = min(self.debt + 1 - self.share, 2 + RANK_STEP)
-        if self.debt < self.callers.protection(caller):
-            return False
-        self.debt -= 1
-        return True
+        self.debt = min(self.debt + 1 - self.share, 2 + RANK_STEP) if self.share < 1 else 0.0
+        shed = self.share < 1 and self.debt >= self.callers.protection(caller)
+        self.debt -= shed
+        return shed
 
     def _advice(self, caller: Caller) -> float:
         """Retry-after: the larger of the minimum average headway and the caller's own mean interval."""
@@ -327,7 +324,9 @@
             self._note_wait(now, request)
         if not self.hold:
             self._wait_sample(0.0)
-        error = self.wait - 1
+        if now - self.called_at > RATE_SPAN:  # no news from below: forget slowly, then try
+            self.failing -= self.failing * PERIOD / RATE_SPAN
+        error = max(self.wait, min(WAIT_MOST, self.failing / CALL_FAILS)) - 1
         self.share -= GAIN_P * (error - self.error) + GAIN_I * error * PERIOD
         self.share = min(1.0, max(SHARE_MIN, self.share))
         self.error = error
@@ -454,7 +453,7 @@
             if not self._room():
                 return
             cls = self.settings.classes[request.cls]
-            if cls.calls and not cls.skip_worth and self._at_calls() >= self.call_cap:
+            if cls.calls and not cls.skip_worth and self._at_calls() >= CALLS_PER_CORE * self.settings.cores:
                 continue
             extra = (self.settings.run_factor - 1) * request.footprint
             if self.memory + extra <= MEMORY_PART * self.settings.memory_kb:
@@ -537,7 +536,7 @@
         left = request.due - now
         if left <= 0:
             self._give_up(now, request)
-        elif self._at_calls() > self.call_cap and self.settings.classes[request.cls].skip_worth > 0:
+        elif self.failing > CALL_FAILS and self.settings.classes[request.cls].skip_worth > 0:
             self._skip(request)  # calls are short: those that cannot be left out need them more
         elif self._call_room():
             self._move(request, State.CALLING)
@@ -560,23 +559,21 @@
         usual = self.call_mean + CALL_DEVIATIONS * self.call_dev
         return max(usual, request.aim_at - now - REST_PART * self.mean_run[request.cls])
 
-    def _adapt_calls(self, now: float, event: i.CallEnded) -> None:
-        """Calls limit, additive up and multiplicative down: what fails below holds back what begins here.
+    def _note_call(self, now: float, event: i.CallEnded) -> None:
+        """Failed calls lower the admitted share like long waits: what is short below is shed unrun here.
 
-        Guards against a tier or dependency below that is short, slow or refusing: work waits in the hold,
-        to be refused unrun, not half done. It can do harm where single calls fail at random.
+        Guards against a tier or dependency below that is short, slow, refusing or out of reach, before
+        work is done for nothing. It can do harm where single calls fail at random though there is room.
         """
-        if event.outcome is i.Outcome.OK:
+        ok, self.called_at = event.outcome is i.Outcome.OK, now
+        self.failing += CALL_GAIN * ((not ok) - self.failing)
+        if ok:
             spent = _sane(event.spent)
             self.call_dev += 2 * GAP_GAIN * (abs(spent - self.call_mean) - self.call_dev)
             self.call_mean += GAP_GAIN * (spent - self.call_mean) if self.call_mean else spent
-            self.call_cap = min(CALLS_PER_CORE * self.settings.cores, self.call_cap + 1 / self.call_cap)
-        elif event.outcome is not i.Outcome.TIMEOUT and now - self.call_cut_at >= CALL_CUT_EVERY:
-            self.call_cut_at = now
-            self.call_cap = max(1.0, self.call_cap * CALL_CUT)
 
     def _call_ended(self, now: float, request: Request, event: i.CallEnded) -> None:
-        self._adapt_calls(now, event)
+        self._note_call(now, event)
         self._move(request, State.RUNNING if event.outcome is i.Outcome.OK else State.AT_CALL)
         if request.state == State.AT_CALL and not request.answered:
             self._call_failed(now, request, event.outcome)
