--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -66,7 +66,7 @@
 class State:
     """Where a request is."""
 
-    HELD, REUSING, RUNNING, AT_CALL, CALLING, DONE = range(6)
+    HELD, REUSING, RUNNING, AT_CALL, CALLING, PAUSED, DONE = range(7)
 
 
 class Caller:
@@ -82,8 +82,8 @@
     """One request that was read here."""
 
     __slots__ = (
-        "aim_at", "answered", "arrived", "caller", "cls", "due", "footprint", "hint", "id", "ran", "read_at",
-        "state", "waiters",
+        "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id", "ran",
+        "read_at", "state", "stopping", "waiters",
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
@@ -92,9 +92,9 @@
         self.hint, self.footprint = _sane(event.hint), _sane(event.footprint_kb)
         self.read_at, self.arrived, self.due, self.aim_at = now, now - _sane(event.age), due, aim_at
         self.state = State.DONE  # until it is taken in
-        self.answered = False
+        self.answered = self.stopping = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
-        self.waiters = 0
+        self.waiters, self.began = 0, math.inf
 
 
 class CallerList:
@@ -173,20 +173,16 @@
         self.pace = self.best_pace = 0.0  # reads and ends of runs a second
         self.progress_at = self.started_at = self.full_since = 0.0
         self.stalled = self.sick = False
-        self.lag = 0.0  # mean time that requests spent unread
-        self.tight = min(c.aim for c in s.classes)
+        self.lag, self.tight = 0.0, min(c.aim for c in s.classes)  # mean time unread; shortest aim
         self.published = -1.0
         self.closing = False  # idle connections are closed at once
         self.idle = 0.0  # part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
-        self.call_load = 0.0
         self.judged_at = -math.inf
-        self.call_mean = self.call_dev = 0.0
+        self.call_load = self.call_mean = self.call_dev = 0.0
         self.failing = self.called_at = 0.0  # recent part of calls that failed; when the last one ended
         self.drain_at = self.stop_at = math.inf
 
-    # Entry
-
     def on_event(self, now: float, event: i.Event) -> list[i.Action]:
         """Take one event and return the actions it calls for."""
         self.out = []
@@ -246,10 +242,9 @@
     def _must_refuse(self, now: float, request: Request) -> bool:
         """What no admission share can let in: no time, no room, leaving, or standing still."""
         s = self.settings
-        room = self.memory + s.key_kb <= MEMORY_PART * s.memory_kb
+        full = self.memory + s.key_kb > MEMORY_PART * s.memory_kb
         late = request.due <= now or request.arrived > self.drain_at + s.drain_grace
-        slow = self.sick and now + self._expected(request) > request.aim_at
-        return late or not room or self.stalled or slow
+        return late or full or self.stalled or (self.sick and now + self._expected(request) > request.aim_at)
 
     def _shed(self, caller: Caller) -> bool:
         """The headway rule: below full admission, callers over the ceiling, then highest counters."""
@@ -260,10 +255,8 @@
 
     def _advice(self, caller: Caller) -> float:
         """Retry-after: the larger of the minimum average headway and the caller's own mean interval."""
-        if not self.settings.retry_after:
-            return 0.0
         wish = max(self.callers.mah(), caller.gap)
-        return min(wish, self.settings.max_retry_after)
+        return min(wish, self.settings.max_retry_after) if self.settings.retry_after else 0.0
 
     def _refuse(self, request: Request, stay: bool) -> None:
         self.out.append(i.Refuse(request.id, self._advice(request.caller), stay))
@@ -294,16 +287,13 @@
     # Control loop
 
     def _timer(self, now: float, event: i.Timer) -> None:
+        request, retry = self.requests.get(event.token % RETRY_TOKEN), event.token >= RETRY_TOKEN
         if event.token == TICK_TOKEN:
             self._tick(now, dict(zip(self.settings.gauges, event.gauges, strict=False)))
-        elif event.token >= RETRY_TOKEN:
-            request = self.requests.get(event.token - RETRY_TOKEN)
-            if request and request.state == State.AT_CALL:
-                self._place(now, request)
-        else:
-            request = self.requests.get(event.token)
-            if request and not request.answered and now >= request.due - self.settings.tick:
-                self._give_up(now, request)
+        elif request and retry and request.state == State.AT_CALL:
+            self._place(now, request)
+        elif request and not retry and not request.answered and now >= request.due - self.settings.tick:
+            self._give_up(now, request)
 
     def _tick(self, now: float, gauges: dict[str, float]) -> None:
         self.out.append(i.SetTimer(PERIOD, TICK_TOKEN))
@@ -314,8 +304,8 @@
         self._adjust_share(now)
         self._adjust_cap(now, gauges)
         self._close_idle()
-        more = self.count[State.CALLING] - self.call_load
-        self.call_load += more * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
+        calls = self.count[State.CALLING] - self.call_load
+        self.call_load += calls * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
         self._publish(now)
 
     def _adjust_share(self, now: float) -> None:
@@ -332,6 +322,8 @@
         self.error = error
 
     def _note_wait(self, now: float, request: Request) -> None:
+        if request.ran:  # paused
+            return
         cls = self.settings.classes[request.cls]
         aim = cls.aim / (1 + self.settings.tier)  # the tiers that a request passes share its time evenly
         allowed = WAIT_PART * max(aim - self._expected(request), 0.25 * aim)
@@ -372,9 +364,8 @@
     def _watch_progress(self, now: float) -> None:
         """Signs of a sick server, whatever the cause: nothing moves, or requests lie unread at a low pace.
 
-        Guards against hangs and slow, throttled or stolen cores.  A flood also leaves requests unread,
-        but at a high pace: going out of service would only pass it on, so that is no sign.  It can do
-        harm where all are slow at once; so what can still make its aim is taken, and health returns.
+        Guards against hangs and slow, throttled or stolen cores. A flood also leaves requests unread, but
+        at a high pace: that is no sign. It can do harm where all are slow at once; so health returns.
         """
         s = self.settings
         if s.cold and s.warm_up > 0:
@@ -417,9 +408,8 @@
 
     def _expected(self, request: Request) -> float:
         """Expected time of a run here: by the hint, as hints have fared, or the mean of the class."""
-        cls = request.cls
+        cls, known = request.cls, self.mean_hint[request.cls]
         if request.hint > 0:
-            known = self.mean_hint[cls]
             return request.hint * (self.hinted_run[cls] / known if known > 0 else 1.0)
         return self.mean_run[cls]
 
@@ -428,10 +418,9 @@
         cls = self.settings.classes[request.cls]
         run = max(self._expected(request), 1e-6)
         worth = cls.worth if self.settings.worth_by_work else cls.worth / run
-        slack = request.aim_at - now - run
         if now + FIT * run > request.aim_at:
             return worth * cls.late_worth
-        return worth * math.exp(-max(0.0, slack) / (ATC_SPAN * max(self.mean_run)))
+        return worth * math.exp(-max(0.0, request.aim_at - now - run) / (ATC_SPAN * max(self.mean_run)))
 
     def _dispatch(self, now: float) -> None:
         if not self.hold:
@@ -444,26 +433,22 @@
             cls = self.settings.classes[request.cls]
             limit = request.due if cls.late_worth > 0 else request.aim_at
             fit = busy * (FIT if now > request.read_at else FIT_FRESH)
-            if now + fit * self._expected(request) > limit:
+            if not request.ran and now + fit * self._expected(request) > limit:
                 self._give_up(now, request)
-        if not self.hold or not self._room():
+        if not self._room():
             return
-        order = sorted(self.hold.values(), key=lambda r: (-self._index(now, r), r.id))
+        order = sorted(self.hold.values(), key=lambda r: (r.began, -self._index(now, r), r.id))
         for request in order:
-            if not self._room():
-                return
             cls = self.settings.classes[request.cls]
-            if cls.calls and not cls.skip_worth and self._at_calls() >= CALLS_PER_CORE * self.settings.cores:
-                continue
-            extra = (self.settings.run_factor - 1) * request.footprint
-            if self.memory + extra <= MEMORY_PART * self.settings.memory_kb:
+            calls = self._at_calls() if cls.calls and not cls.skip_worth and not request.ran else 0
+            extra = 0.0 if request.ran else (self.settings.run_factor - 1) * request.footprint
+            room = self.memory + extra <= MEMORY_PART * self.settings.memory_kb
+            if room and calls < CALLS_PER_CORE * self.settings.cores and self._room():
                 self._run(now, request)
 
     def _room(self) -> bool:
-        crowd = self._crowd()
-        on_core = self.count[State.RUNNING]
-        in_hand = on_core + self._at_calls()  # calls return to the cores together
-        return on_core < int(self.cap) and in_hand + 1 <= crowd
+        on_core = self.count[State.RUNNING]  # calls return to the cores together
+        return on_core < int(self.cap) and on_core + self._at_calls() + 1 <= self._crowd()
 
     def _at_calls(self) -> int:
         return self.count[State.AT_CALL] + self.count[State.CALLING]
@@ -472,9 +457,21 @@
         self._note_wait(now, request)
         self.hold.pop(request.id, None)
         self._move(request, State.RUNNING)
-        request.ran = True
+        request.ran, request.began = True, min(now, request.began)
         self.out.append(i.Run(request.id))
 
+    def _pause(self) -> None:
+        """When a call returns to full cores, pause the run begun last; it is taken up before new ones.
+
+        Guards against runs past the cores, which slow each other down, most of all on small servers: calls
+        return when they like. It can do harm where the newest are the most urgent, or memory is short.
+        """
+        runs = [r for r in self.requests.values() if r.state == State.RUNNING and not r.stopping]
+        if self.settings.stop is i.Stop.PAUSE and len(runs) > int(self.cap):
+            last = max(runs, key=lambda r: (r.began, r.id))
+            last.stopping = True
+            self.out.append(i.Halt(last.id))
+
     def _give_up(self, now: float, request: Request) -> None:
         """Answer at once what will not be served here, telling when to come back."""
         if request.answered:
@@ -489,7 +486,7 @@
     def _leave(self, request: Request) -> None:
         """Nobody waits any more: forget it, or stop its run where that can be done and no repeat needs it."""
         request.answered = True
-        if request.state in (State.HELD, State.REUSING):
+        if request.state in (State.HELD, State.REUSING, State.PAUSED):
             self._end(request)
         elif request.state == State.RUNNING and not request.waiters and self.settings.stop is not i.Stop.NONE:
             self.out.append(i.Halt(request.id))
@@ -512,6 +509,10 @@
 
     def _run_ended(self, now: float, request: Request, event: i.RunEnded) -> None:
         self.progress_at = now
+        if event.outcome is i.Outcome.CANCELLED and request.stopping and not request.answered:
+            request.stopping, self.hold[request.id] = False, request
+            self._move(request, State.PAUSED)
+            return
         if event.outcome is i.Outcome.OK and request.state in (State.RUNNING, State.CALLING):
             self._learn(request, _sane(event.spent))
         if event.outcome in (i.Outcome.CANCELLED, i.Outcome.MOOT) and not request.answered:
@@ -575,7 +576,9 @@
     def _call_ended(self, now: float, request: Request, event: i.CallEnded) -> None:
         self._note_call(now, event)
         self._move(request, State.RUNNING if event.outcome is i.Outcome.OK else State.AT_CALL)
-        if request.state == State.AT_CALL and not request.answered:
+        if request.state == State.RUNNING:
+            self._pause()
+        elif not request.answered:
             self._call_failed(now, request, event.outcome)
 
     def _call_failed(self, now: float, request: Request, outcome: i.Outcome) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -255,6 +255,41 @@
     assert third.state == "running"
 
 
+def test_a_call_that_returns_to_full_cores_pauses_the_newest_run_which_goes_on_before_new_ones() -> None:
+    calls = (i.ClassSettings(1.0, 3.0, calls=True), PAY)
+    for stop, paused in ((i.Stop.PAUSE, True), (i.Stop.NONE, False)):
+        world = World(settings(below=i.Below.TIER, classes=calls, stop=stop))
+        caller, old = world.arrive(0, 1), world.arrive(0, 2)
+        world.need_call(caller)
+        world.now += 0.01
+        newest = world.arrive(1, 3, key=1)
+        waiting = world.arrive(0, 4)
+        world.end_call(caller, i.Outcome.OK)
+        world.settle()
+        assert world.on_core() == (2 if paused else 3)
+        assert (newest.state == "paused") is paused
+        world.finish(old)
+        assert newest.state == "running"
+        assert waiting.state == "held"
+        world.finish(newest)
+        assert (caller.state, waiting.state) == ("running", "running")
+
+
+def test_paused_work_is_failed_not_refused_when_its_time_is_up() -> None:
+    calls = (i.ClassSettings(1.0, 3.0, calls=True), PAY)
+    world = World(settings(below=i.Below.TIER, classes=calls, stop=i.Stop.PAUSE))
+    caller, _ = world.arrive(0, 1), world.arrive(0, 2)
+    world.need_call(caller)
+    world.now += 0.01
+    newest = world.arrive(1, 3, key=1)
+    world.end_call(caller, i.Outcome.OK)
+    world.settle()
+    assert newest.state == "paused"
+    world.advance(3.1)
+    assert newest.answers == 1
+    assert i.Fail(newest.id) in world.log
+
+
 def test_the_worthier_of_two_equal_requests_runs_first() -> None:
     world = World(settings(worth_by_work=True))
     running = [world.arrive(0, 1), world.arrive(0, 1)]
