What is held past its aim is kept only for its late worth's part of the time left

Cause: a class whose late answers earn a fifth was held and run until its due time, in overload too, at the cost of requests that could still be in time.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -431,7 +431,7 @@
         self.judged_at = now
         for request in judge:
             cls = self.settings.classes[request.cls]
-            limit = request.due if cls.late_worth > 0 else request.aim_at
+            limit = request.aim_at + cls.late_worth * (request.due - request.aim_at)
             fit = busy * (FIT if now > request.read_at else FIT_FRESH)
             if not request.ran and now + fit * self._expected(request) > limit:
                 self._give_up(now, request)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -313,6 +313,17 @@
     assert refusal.retry_after > 0
 
 
+def test_late_worth_keeps_a_request_held_past_its_aim_for_its_part_of_the_time() -> None:
+    for late_worth, held in ((0.0, False), (0.2, False), (1.0, True)):
+        classes = (i.ClassSettings(1.0, 10.0), i.ClassSettings(1.0, 10.0, late_worth=late_worth))
+        world = World(settings(classes=classes))
+        world.arrive(0, 1), world.arrive(0, 2)
+        late = world.arrive(1, 3)
+        world.now += 3.5  # past the aim, and past the aim and a fifth of the time to the due time
+        world.arrive(0, 4)
+        assert (late.state == "held") is held
+
+
 def test_a_request_that_finds_a_free_core_is_tried_though_it_may_be_late() -> None:
     world = World(settings(worth_by_work=True))
     job = world.arrive(0, 1, hint=1.2)
