--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -41,7 +41,7 @@
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
 CROWD_PART = 0.7  # of the crowd that kills, reached by choice
 CALLS_PER_CORE = 3.0  # most requests waiting on calls for each core; they return to the cores together
-CALL_FAILS = 0.3  # part of calls failing that counts as a wait of one aim; each was tried elsewhere too
+CALL_FAILS = 0.3  # part of calls refused that counts as a wait of one aim; each was tried elsewhere too
 CALL_GAIN = 1 / 16  # weight of a new call in it: about the last 16, a few seconds on a small server
 MARGIN_TICKS = 3  # answers go out this many ticks before they are due
 CALL_DEVIATIONS = 4.0  # a call is given up this many deviations over the mean time of good ones (RFC 6298)
@@ -180,7 +180,7 @@
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.judged_at = -math.inf
         self.call_load = self.call_mean = self.call_dev = 0.0
-        self.failing = self.called_at = 0.0  # recent part of calls that failed; when the last one ended
+        self.failing = self.called_at = 0.0  # recent part of calls refused below; when the last one ended
         self.drain_at = self.stop_at = math.inf
 
     def on_event(self, now: float, event: i.Event) -> list[i.Action]:
@@ -561,14 +561,14 @@
         return max(usual, request.aim_at - now - REST_PART * self.mean_run[request.cls])
 
     def _note_call(self, now: float, event: i.CallEnded) -> None:
-        """Failed calls lower the admitted share like long waits: what is short below is shed unrun here.
+        """Refused calls lower the admitted share like long waits: what is short below is shed unrun here.
 
-        Guards against a tier or dependency below that is short, slow, refusing or out of reach, before
-        work is done for nothing. It can do harm where single calls fail at random though there is room.
+        Guards against a tier or dependency below that is short and says so, before work is done for
+        nothing. Lost paths do not count: others still get through. It can do harm where few refuse all.
         """
-        ok, self.called_at = event.outcome is i.Outcome.OK, now
-        self.failing += CALL_GAIN * ((not ok) - self.failing)
-        if ok:
+        self.called_at = now
+        self.failing += CALL_GAIN * ((event.outcome is i.Outcome.FULL) - self.failing)
+        if event.outcome is i.Outcome.OK:
             spent = _sane(event.spent)
             self.call_dev += 2 * GAP_GAIN * (abs(spent - self.call_mean) - self.call_dev)
             self.call_mean += GAP_GAIN * (spent - self.call_mean) if self.call_mean else spent
