--- a/shelfhaven/drill/__main__.py
+++ b/shelfhaven/drill/__main__.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
+from shelfhaven import config
 from shelfhaven.decision import interface as i
 from shelfhaven.decision.control import Controller
-from shelfhaven.drill import options, wire
+from shelfhaven.drill import wire
 
 OUTCOMES = {
     200: i.Outcome.OK,
@@ -93,7 +94,7 @@
             self.controllers.pop(f["who"], None)
             return []
         if name == "Spawn":
-            controller = Controller(options.parse(f["options"]), f["rng-seed"])
+            controller = Controller(config.parse_lines(f["options"]), f["rng-seed"])
             self.controllers[f["who"]] = controller
             return controller.on_event(now, i.Started())
         known = self.controllers.get(f["who"])
--- /dev/null
+++ b/shelfhaven/server/__init__.py
@@ -0,0 +1,1 @@
+"""The real app server: phases, actors and log around the decision module."""
--- /dev/null
+++ b/shelfhaven/server/agent.py
@@ -0,0 +1,153 @@
+"""The agent's actor: the link to the render farm agent, kept open.
+
+Owns the link, the number of the last notice read, and the commands whose fate is not known yet. It must
+never issue a command of its own will, and never send one again before it has read what happened meanwhile.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+import traceback
+from collections.abc import Callable
+from typing import TypeAlias
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from shelfhaven.config import Address
+from shelfhaven.protocol import agent as wire
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox
+
+READ = 64 * 1024  # bytes at a time
+RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries to connect
+RESTART_MARGIN = 1.0  # seconds by which a start must be later to be another one
+
+Teller: TypeAlias = Callable[[wire.Notice | m.LinkDown | m.AgentRestarted], None]
+
+
+class Agent:
+    """Actor of the render farm agent."""
+
+    def __init__(self, address: Address, tell: Teller, log: Log) -> None:
+        self.address, self.tell, self.log = address, tell, log
+        self.mailbox: Mailbox[wire.Command | wire.Sample] = Mailbox(self._take, log, self._flush)
+        self.stream: IOStream | None = None
+        self.outgoing: list[bytes] = []
+        self.fate: dict[str, wire.Command] = {}  # by run: the command that nothing was heard of since
+        self.sent_again: set[str] = set()  # runs whose command may have been carried out before
+        self.last = 0
+        self.links = 0
+        self.barrier = ""  # tag of the sample that closes what a new link replays
+        self.up = False
+        self.started = 0.0  # when the agent started, by its greeting
+        self.ended = False
+
+    def put(self, message: wire.Command | wire.Sample) -> None:
+        """Take a command."""
+        self.mailbox.put(message)
+
+    def _take(self, message: wire.Command | wire.Sample) -> None:
+        if not isinstance(message, wire.Sample):
+            self.fate[message.id] = message
+        if self.up:
+            self.outgoing.append(wire.encode(message))
+
+    def _flush(self) -> None:
+        if self.outgoing and self.stream and not self.stream.closed():
+            data = b"".join(self.outgoing)
+            self.outgoing.clear()
+            self.stream.write(data)
+
+    async def run(self) -> None:
+        """Keep the link open until the actor ends."""
+        pause = RETRY_FIRST
+        while not self.ended:
+            links = self.links
+            try:
+                await self._link()
+            except (OSError, StreamClosedError):
+                pass
+            except wire.StreamError as error:
+                self.log.event("agent_stream", error=str(error))
+            except Exception:
+                self.log.event("agent_failed", error=traceback.format_exc(limit=-4))
+            self._drop()
+            pause = RETRY_FIRST if self.links > links else min(2 * pause, RETRY_MOST)
+            if not self.ended:
+                await asyncio.sleep(pause)
+
+    def end(self) -> None:
+        """Close the link for good."""
+        self.ended = True
+        self._drop()
+
+    def _drop(self) -> None:
+        if self.stream:
+            self.stream.close()
+            self.stream = None
+        self.outgoing.clear()
+        if self.up:
+            self.up = False
+            self.log.event("agent_link_down")
+            self.tell(m.LinkDown())
+
+    async def _link(self) -> None:
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        self.stream = stream
+        await stream.connect((self.address.host, self.address.port))
+        stream.set_nodelay(True)
+        self.links += 1
+        await stream.write(wire.subscribe(self.last))
+        cutter = wire.Cutter()
+        while True:
+            for notice in cutter.feed(await stream.read_bytes(READ, partial=True)):
+                self._notice(notice)
+
+    def _notice(self, notice: wire.Notice) -> None:
+        match notice:
+            case wire.Greeting():
+                self._greeted(notice)
+            case wire.Sampled() if notice.tag == self.barrier:
+                self._replayed()
+            case wire.Outcome() | wire.Wanted() | wire.Aside():
+                if notice.number <= self.last:
+                    return
+                self.last = notice.number
+                if not isinstance(notice, wire.Aside):
+                    self.fate.pop(notice.id, None)
+                    self.sent_again.discard(notice.id)
+                    self.tell(notice)
+            case wire.Refusal():
+                self._refused(notice)
+            case _:
+                self.tell(notice)
+
+    def _greeted(self, greeting: wire.Greeting) -> None:
+        """The agent is up; the sample is answered after all that it replays."""
+        started = time.monotonic() - greeting.ms / 1000
+        if self.started and started > self.started + RESTART_MARGIN:
+            self.fate.clear()
+            self.tell(m.AgentRestarted())
+        self.started = started
+        self.tell(greeting)
+        self.barrier = f"link{self.links}"
+        self.outgoing.append(wire.encode(wire.Sample(self.barrier)))
+        self._flush()
+
+    def _replayed(self) -> None:
+        self.barrier = ""
+        self.up = True
+        self.sent_again = set(self.fate)
+        self.outgoing += [wire.encode(command) for command in self.fate.values()]
+        self._flush()
+
+    def _refused(self, refusal: wire.Refusal) -> None:
+        """One refused when sent again was carried out the first time; what it led to is still to come."""
+        command = self.fate.pop(refusal.id, None)
+        again = refusal.id in self.sent_again
+        self.sent_again.discard(refusal.id)
+        if command is not None and not again:
+            self.tell(refusal)
--- /dev/null
+++ b/shelfhaven/server/app.py
@@ -0,0 +1,127 @@
+"""The program's phases, from start to exit, as named states of one object.
+
+Owns the actors, the order in which they start and end, and the signals. It must never take part in serving,
+and never end while an answer can still be owed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import time
+from enum import Enum
+
+from shelfhaven.config import Config
+from shelfhaven.server import messages as m
+from shelfhaven.server.agent import Agent
+from shelfhaven.server.core import Core
+from shelfhaven.server.ledger import Ledger
+from shelfhaven.server.log import Log
+from shelfhaven.server.members import Members
+from shelfhaven.server.routers import Listener, Names
+
+ROUTERS_PART = 1 / 2  # of the descriptors, by the protocol
+LEDGER_PART = 1 / 4
+SPARE_DESCRIPTORS = 12  # standard streams, the loop, the listener, the link, the datagram socket, a file
+CLOSING_PART = 0.1  # of the time to leave: what is left when the listener is closed
+CLOSING_MOST = 0.5  # seconds
+CROSSING = 0.1  # seconds after `shutdown` in which a request may still cross it
+WATCH = 0.02  # seconds between looks at what is still open while leaving
+
+
+class Phase(Enum):
+    """Where the program is between start and exit."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    CLOSING = "closing"
+    ENDED = "ended"
+
+
+NEXT = {
+    Phase.STARTING: {Phase.SERVING, Phase.ENDED},
+    Phase.SERVING: {Phase.DRAINING},
+    Phase.DRAINING: {Phase.CLOSING},
+    Phase.CLOSING: {Phase.ENDED},
+    Phase.ENDED: set(),
+}
+
+
+class App:
+    """One real app server."""
+
+    def __init__(self, config: Config, log: Log) -> None:
+        self.config, self.log = config, log
+        self.phase = Phase.STARTING
+        sockets = config.limits.sockets
+        self.core = Core(config, log)
+        self.agent = Agent(config.agent, self.core.put, log)
+        ledgers = max(1, int((sockets - SPARE_DESCRIPTORS) * LEDGER_PART))
+        self.ledger = Ledger(config.ledger, ledgers, self.core.put, log)
+        self.members = Members(config.members, config.name, log)
+        self.core.connect(self.agent, self.ledger, self.members)
+        connections = max(1, sockets - SPARE_DESCRIPTORS - ledgers)
+        self.listener = Listener(config.listen, connections, Names(config), self.core.put, log)
+        self.leave = asyncio.Event()
+        self.stop_at = 0.0
+
+    def _enter(self, phase: Phase) -> None:
+        if phase not in NEXT[self.phase]:
+            raise RuntimeError(f"{self.phase.value} is not followed by {phase.value}")
+        self.phase = phase
+        self.log.event("phase", phase=phase.value)
+
+    async def run(self) -> None:
+        """Serve until the notice to leave, then leave safely."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.notice)
+        for key in self.config.unsupported:
+            self.log.event("unsupported", key=f"settings.{key}")
+        self.listener.start()
+        self.members.start()
+        link = loop.create_task(self.agent.run())
+        gc.collect()
+        gc.freeze()
+        self._enter(Phase.SERVING)
+        await self.leave.wait()
+        await self._drain()
+        await self._close()
+        self.agent.end()
+        self.ledger.end()
+        self.members.end()
+        link.cancel()
+        await asyncio.gather(link, return_exceptions=True)
+        self._enter(Phase.ENDED)
+
+    def notice(self) -> None:
+        """The notice to leave; a second one changes nothing."""
+        if self.leave.is_set():
+            return
+        self.stop_at = time.monotonic() + self.config.stop
+        self.core.put(m.Leave(self.config.stop))
+        self.leave.set()
+
+    async def _drain(self) -> None:
+        """Go on answering, new connections too, until no router is left or the end is near."""
+        self._enter(Phase.DRAINING)
+        self.listener.leave()
+        closing = self.stop_at - min(CLOSING_MOST, CLOSING_PART * self.config.stop)
+        while time.monotonic() < closing:
+            await asyncio.sleep(WATCH)
+
+    async def _close(self) -> None:
+        """Close the listener, let what crosses that be answered, and end the connections that remain."""
+        self._enter(Phase.CLOSING)
+        self.listener.close()
+        quiet_since = time.monotonic()
+        while self.listener.connections:
+            now = time.monotonic()
+            if self.listener.open_requests():
+                quiet_since = now
+            elif now - quiet_since > CROSSING:
+                break
+            await asyncio.sleep(WATCH)
+        self.listener.end()
--- /dev/null
+++ b/shelfhaven/server/core.py
@@ -0,0 +1,548 @@
+"""The core: the actor around the decision module, and the books of what this server owes.
+
+Owns requests, the table of keys, results and timers; turns messages into events and actions into messages,
+and alone calls `Controller.on_event`, one event at a time. It must never decide: time-outs, advice, order
+and health come from the module, and every request gets exactly one answer whatever the module or a peer
+does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import time
+import traceback
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol, TypeAlias
+
+from shelfhaven.config import Config
+from shelfhaven.decision import interface as i
+from shelfhaven.decision.control import Controller
+from shelfhaven.protocol import agent as wire
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox
+
+GAUGES_WITHIN = 0.01  # seconds that due timers wait for fresh gauges at most
+REDELIVERED_AFTER = 0.1  # seconds, at least, after which a timer that the module failed on comes again
+RESULTS_PART = 1 / 16  # of the program's memory, for stored results
+SETTLING_TURNS = 3  # of the loop, in which what already lies in the sockets is read
+
+ENDS = {
+    "PASS": i.Outcome.OK,
+    "FAIL": i.Outcome.ERROR,
+    "KILLED": i.Outcome.CANCELLED,
+    "NOOP": i.Outcome.MOOT,
+}
+
+Message: TypeAlias = (
+    m.Submit
+    | m.Cancel
+    | m.Reject
+    | m.Check
+    | m.LinkDown
+    | m.AgentRestarted
+    | m.CallDone
+    | m.Leave
+    | wire.Notice
+)
+
+
+class AgentActor(Protocol):
+    """What the core needs of the agent's actor."""
+
+    @property
+    def up(self) -> bool:
+        """Whether the link carries commands just now."""
+
+    def put(self, message: wire.Command | wire.Sample) -> None:
+        """Take a command."""
+
+
+class LedgerActor(Protocol):
+    """What the core needs of the ledger's actor."""
+
+    def put(self, message: m.PlaceCall | m.DropCall) -> None:
+        """Take a call or give one up."""
+
+
+class MembersActor(Protocol):
+    """What the core needs of the actor that reports to the membership service."""
+
+    def put(self, message: m.Standing) -> None:
+        """Take what is to be reported from now on."""
+
+
+class Owed(Enum):
+    """The answer of a request: owed, then given or released for good."""
+
+    OWED = "owed"
+    GIVEN = "given"
+    RELEASED = "released"
+
+
+class Stage(Enum):
+    """The work of a request."""
+
+    HELD = "held"
+    REUSING = "reusing"
+    RUNNING = "running"
+    AT_CALL = "at call"
+    CALLING = "calling"
+    OVER = "over"
+
+
+UNRUN = (Stage.HELD, Stage.REUSING)
+RUN = (Stage.RUNNING, Stage.AT_CALL, Stage.CALLING)
+
+
+@dataclass(slots=True)
+class Request:
+    """One try."""
+
+    id: int
+    submit: m.Submit
+    owed: Owed = Owed.OWED
+    stage: Stage = Stage.HELD
+    launched: bool = False
+    since: float = 0.0  # when the reuse or the call began
+    same_as: int = 0
+    notice: int = 0  # of the call that the run waits for
+    call_body: bytes = b""
+    waiters: list[int] = field(default_factory=list)
+
+    @property
+    def key(self) -> tuple[int, str]:
+        return self.submit.cls, self.submit.dedupe
+
+
+@dataclass(slots=True)
+class Entry:
+    """One key: the try that holds it, until when, and the result once there is one."""
+
+    id: int
+    until: float
+    result: bytes | None = None
+
+
+class Core:
+    """The module's actor."""
+
+    def __init__(
+        self,
+        config: Config,
+        log: Log,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.config, self.log, self.clock, self.wall = config, log, clock, wall
+        self.controller = Controller(config.settings, config.seed)
+        self.mailbox: Mailbox[Message] = Mailbox(self._take, log)
+        self.agent: AgentActor
+        self.ledger: LedgerActor
+        self.members: MembersActor
+        self.ids = itertools.count(1)
+        self.requests: dict[int, Request] = {}
+        self.by_ref: dict[tuple[int, int], Request] = {}  # answers owed, by front and ref
+        self.by_call: dict[str, Request] = {}  # what may run or runs, by the name that the agent knows
+        self.table: dict[tuple[int, str], Entry] = {}
+        self.table_ends: list[tuple[float, tuple[int, str]]] = []
+        self.results: OrderedDict[tuple[int, str], int] = OrderedDict()  # stored results, oldest first: sizes
+        self.result_bytes = 0
+        self.result_room = int(config.limits.memory_mb * RESULTS_PART * (1 << 20))
+        self.events: deque[i.Event] = deque()  # told to the module after the actions in hand
+        self.timers: list[tuple[float, int, int, float]] = []  # due, order, token, delay
+        self.order = itertools.count()
+        self.alarm: asyncio.TimerHandle | None = None
+        self.alarm_at = float("inf")
+        self.sampling = ""  # tag of the sample that due timers wait for
+        self.samples = itertools.count(1)
+        self.gauges: tuple[float, ...] = ()
+        self.started = self.draining = False
+        self.good = True
+        self.load: float | None = None
+        self.now = clock()
+
+    def connect(self, agent: AgentActor, ledger: LedgerActor, members: MembersActor) -> None:
+        """Learn the actors that actions go to."""
+        self.agent, self.ledger, self.members = agent, ledger, members
+
+    def put(self, message: Message) -> None:
+        """Take a message."""
+        self.mailbox.put(message)
+
+    # Messages to events
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case m.Submit():
+                self._submit(message)
+            case m.Cancel():
+                self._cancel(message)
+            case m.Reject():
+                message.front.answer(m.Failed(message.ref, message.text, self.load, message.code))
+            case m.Check():
+                message.front.answer(m.Healthy(message.ref, self.good, self.load))
+            case wire.Outcome():
+                self._outcome(message)
+            case wire.Wanted():
+                self._wanted(message)
+            case wire.Sampled():
+                self._sampled(message)
+            case wire.Greeting():
+                self.log.event("agent_up", loaded=message.loaded, since_ms=message.ms)
+                self._start()
+            case wire.Refusal():
+                self._refused_command(message)
+            case wire.Malformed():
+                self._malformed(message)
+            case m.LinkDown():
+                self._fire_soon(self.sampling)
+            case m.AgentRestarted():
+                self._agent_restarted()
+            case m.CallDone():
+                self._call_done(message)
+            case m.Leave():
+                self._leave(message)
+        self._settle()
+
+    def _start(self) -> None:
+        if not self.started:
+            self.started = True
+            self.log.event("module_started", cold=self.config.settings.cold)
+            self.events.append(i.Started())
+
+    def _submit(self, submit: m.Submit) -> None:
+        self._start()
+        if submit.call in self.by_call or (id(submit.front), submit.ref) in self.by_ref:
+            submit.front.answer(m.Failed(submit.ref, "this try is in hand already", self.load))
+            return
+        request = Request(next(self.ids), submit)
+        age = max(0.0, self.wall() - submit.recv)
+        request.same_as = self._same_as(request, self.clock() - age)
+        self.requests[request.id] = self.by_call[submit.call] = request
+        self.by_ref[id(submit.front), submit.ref] = request
+        self.events.append(
+            i.Arrival(
+                id=request.id,
+                cls=submit.cls,
+                caller=submit.caller,
+                footprint_kb=submit.footprint_kb,
+                tenant=submit.tenant,
+                budget=submit.budget,
+                age=age,
+                hint=submit.hint,
+                same_as=request.same_as,
+                retry=submit.retry,
+                rank=submit.rank,
+                key=submit.key,
+            )
+        )
+
+    def _same_as(self, request: Request, reached: float) -> int:
+        """The try that a keyed one repeats: by when it reached the machine, however late it is read."""
+        if self.config.settings.classes[request.submit.cls].repeat is not i.Repeat.KEYED:
+            return 0
+        entry = self.table.get(request.key)
+        return entry.id if entry and reached < entry.until else 0
+
+    def _cancel(self, cancel: m.Cancel) -> None:
+        request = self.by_ref.pop((id(cancel.front), cancel.ref), None)
+        if request is None:
+            return
+        request.owed = Owed.RELEASED
+        self.events.append(i.Gone(request.id))
+
+    def _outcome(self, outcome: wire.Outcome) -> None:
+        request = self.by_call.get(outcome.id)
+        end = ENDS.get(outcome.end)
+        if request is None or request.stage not in RUN:
+            return
+        if end is None:
+            self.log.event("agent_unknown_end", end=outcome.end)
+        self._run_ended(request, end or i.Outcome.ERROR, outcome.ms / 1000, outcome.body)
+
+    def _run_ended(self, request: Request, end: i.Outcome, spent: float, body: bytes = b"") -> None:
+        if request.stage is Stage.CALLING:
+            self.ledger.put(m.DropCall(request.id))
+        self._over(request, body if end is i.Outcome.OK else None)
+        if end is i.Outcome.OK:
+            self._answer(request, m.Served(request.submit.ref, body, self.load))
+        elif end is i.Outcome.ERROR:
+            self._fail(request, "the run failed")
+        self.events.append(i.RunEnded(request.id, end, spent))
+
+    def _wanted(self, wanted: wire.Wanted) -> None:
+        request = self.by_call.get(wanted.id)
+        if request is None or request.stage not in RUN:
+            return
+        if request.stage is Stage.CALLING:  # it waits for another call by now
+            self.ledger.put(m.DropCall(request.id))
+        request.stage, request.notice, request.call_body = Stage.AT_CALL, wanted.number, wanted.body
+        self.events.append(i.NeedsCall(request.id))
+
+    def _call_done(self, done: m.CallDone) -> None:
+        request = self.requests.get(done.ref)
+        if request is None or request.stage is not Stage.CALLING:
+            return
+        if done.outcome is i.Outcome.OK:
+            request.stage = Stage.RUNNING
+            self.agent.put(wire.Deliver(request.submit.call, done.body))
+        else:
+            request.stage = Stage.AT_CALL
+        self.events.append(i.CallEnded(request.id, done.outcome, self.clock() - request.since))
+
+    def _refused_command(self, refusal: wire.Refusal) -> None:
+        request = self.by_call.get(refusal.id)
+        self.log.event("agent_refused", command=refusal.command, call=refusal.id)
+        if request and request.stage in RUN:  # nothing more will be heard of it
+            never = refusal.command == "launch"
+            self._run_ended(request, i.Outcome.MOOT if never else i.Outcome.ERROR, 0.0)
+
+    def _malformed(self, line: wire.Malformed) -> None:
+        self.log.event("agent_malformed", line=line.line)
+        request = self.by_call.get(line.id)
+        if request and request.stage in RUN:
+            self._run_ended(request, i.Outcome.ERROR, 0.0)
+
+    def _agent_restarted(self) -> None:
+        self.log.event("agent_restarted")
+        for request in list(self.requests.values()):
+            if request.stage in RUN:
+                self._run_ended(request, i.Outcome.ERROR, 0.0)
+                self._settle()
+
+    def _leave(self, leave: m.Leave) -> None:
+        self.draining = True
+        self.members.put(m.Standing(False))
+        self._start()
+        self.events.append(i.Drain(leave.left))
+
+    # The module
+
+    def _settle(self) -> None:
+        """Tell the module what has happened, one event at a time, until nothing is left to tell."""
+        while self.events:
+            event = self.events.popleft()
+            now = self.now = max(self.now, self.clock())
+            try:
+                actions = self.controller.on_event(now, event)
+            except Exception:
+                self.log.event("module_failed", error=traceback.format_exc(limit=-4))
+                self._salvage(event)
+                actions = []
+            for action in actions:
+                try:
+                    self._act(action)
+                except Exception:
+                    self.log.event("action_failed", action=repr(action), error=traceback.format_exc(limit=-4))
+            self._tidy(event)
+        self._purge()
+        self._set_alarm()
+
+    def _salvage(self, event: i.Event) -> None:
+        """The module failed on an event: what it concerns is answered, and a timer comes again."""
+        if isinstance(event, i.Timer):
+            delay = REDELIVERED_AFTER
+            heapq.heappush(self.timers, (self.now + delay, next(self.order), event.token, delay))
+        elif not isinstance(event, i.Started | i.Drain):
+            request = self.requests.get(event.id)
+            if request:
+                self._fail(request, "an error in this server")
+                if request.stage in UNRUN:
+                    self._over(request, None)
+
+    def _tidy(self, event: i.Event) -> None:
+        """Forget the request of an event once it is answered and its work is over."""
+        if isinstance(event, i.Started | i.Drain | i.Timer):
+            return
+        request = self.requests.get(event.id)
+        if request and request.owed is Owed.RELEASED and request.stage in UNRUN:
+            self._over(request, None)
+        if request:
+            self._forget_if_done(request)
+
+    def _forget_if_done(self, request: Request) -> None:
+        if request.owed is not Owed.OWED and request.stage is Stage.OVER:
+            self.requests.pop(request.id, None)
+            self.by_call.pop(request.submit.call, None)
+
+    # Actions to messages
+
+    def _act(self, action: i.Action) -> None:
+        match action:
+            case i.SetTimer():
+                due = self.now + action.delay
+                heapq.heappush(self.timers, (due, next(self.order), action.token, action.delay))
+            case i.Health():
+                self.good = action.good
+                up = not self.draining and (self.good or not self.config.settings.readiness)
+                self.members.put(m.Standing(up))
+                self.log.event("health", good=self.good)
+            case i.Publish():
+                self.load = action.value
+            case i.CloseIdle() | i.Halt():
+                self.log.event("no_word_for", action=type(action).__name__)
+            case _:
+                request = self.requests.get(action.id)
+                if request:
+                    self._act_on(request, action)
+                    self._forget_if_done(request)
+
+    def _act_on(self, request: Request, action: i.Action) -> None:
+        match action:
+            case i.Run() if request.stage is Stage.HELD and request.owed is Owed.OWED:
+                request.stage, request.launched = Stage.RUNNING, True
+                name = self.config.classes[request.submit.cls]
+                self.agent.put(wire.Launch(request.submit.call, name, request.submit.body))
+            case i.Run() if request.stage is Stage.HELD:
+                self.events.append(i.RunEnded(request.id, i.Outcome.MOOT, 0.0))
+            case i.Refuse():
+                self._refuse(request, action)
+            case i.Fail():
+                self._fail(request, "given up")
+                if request.stage in UNRUN:
+                    self._over(request, None)
+            case i.Keep():
+                self._keep(request, action.ttl)
+            case i.Forget():
+                entry = self.table.get(request.key)
+                if entry and entry.id == request.id:
+                    self._drop_entry(request.key)
+            case i.Reuse() if request.stage is Stage.HELD:
+                self._reuse(request)
+            case i.Call() if request.stage is Stage.AT_CALL:
+                request.stage, request.since = Stage.CALLING, self.now
+                limit = action.limit or self.config.settings.classes[request.submit.cls].deadline
+                self.ledger.put(m.PlaceCall(request.id, request.submit.call, limit, request.call_body))
+            case i.Skip() if request.stage is Stage.AT_CALL:
+                request.stage = Stage.RUNNING
+                self.agent.put(wire.Forgo(request.submit.call, request.notice))
+
+    def _answer(self, request: Request, answer: m.Answer) -> None:
+        """The one place where an answer leaves: only while it is owed, so never twice."""
+        if request.owed is Owed.OWED:
+            request.owed = Owed.GIVEN
+            del self.by_ref[id(request.submit.front), request.submit.ref]
+            request.submit.front.answer(answer)
+
+    def _fail(self, request: Request, text: str) -> None:
+        self._answer(request, m.Failed(request.submit.ref, text, self.load))
+
+    def _refuse(self, request: Request, action: i.Refuse) -> None:
+        if request.launched:  # a refusal would promise that it never ran
+            self._fail(request, "given up")
+            return
+        self._answer(request, m.Refused(request.submit.ref, action.retry_after, action.stay, self.load))
+        self._over(request, None)
+
+    def _over(self, request: Request, result: bytes | None) -> None:
+        """The work of a request is over; those that wait for its result are served or failed."""
+        request.stage = Stage.OVER
+        if result is not None:
+            self._store(request, result)
+        for waiter in request.waiters:
+            self._reuse_ended(self.requests.get(waiter), result)
+        request.waiters.clear()
+
+    # Keys and results
+
+    def _keep(self, request: Request, ttl: float) -> None:
+        if request.submit.dedupe:
+            end = self.now + ttl
+            self.table[request.key] = Entry(request.id, end)
+            # one read later may have reached the machine before the end
+            late = self.config.settings.classes[request.submit.cls].deadline
+            heapq.heappush(self.table_ends, (end + late, request.key))
+
+    def _store(self, request: Request, result: bytes) -> None:
+        entry = self.table.get(request.key)
+        if entry is None or entry.id != request.id:
+            return
+        entry.result = result
+        self.results[request.key] = len(result)
+        self.result_bytes += len(result)
+        while self.result_bytes > self.result_room:
+            key, size = self.results.popitem(last=False)
+            self.result_bytes -= size
+            self.table[key].result = None  # the fact that it ran stays
+
+    def _drop_entry(self, key: tuple[int, str]) -> None:
+        self.result_bytes -= self.results.pop(key, 0)
+        self.table.pop(key, None)
+
+    def _purge(self) -> None:
+        while self.table_ends and self.table_ends[0][0] <= self.now:
+            end, key = heapq.heappop(self.table_ends)
+            entry = self.table.get(key)
+            if entry and entry.until <= end:
+                self._drop_entry(key)
+
+    def _reuse(self, request: Request) -> None:
+        request.stage, request.since = Stage.REUSING, self.now
+        original = self.requests.get(request.same_as)
+        if original and original.stage is not Stage.OVER:
+            original.waiters.append(request.id)
+            return
+        entry = self.table.get(request.key)
+        self._reuse_ended(request, entry.result if entry and entry.id == request.same_as else None)
+
+    def _reuse_ended(self, request: Request | None, result: bytes | None) -> None:
+        if request is None or request.stage is not Stage.REUSING:
+            return
+        request.stage = Stage.OVER
+        if result is not None:
+            self._answer(request, m.Served(request.submit.ref, result, self.load))
+        else:
+            self._fail(request, "the try that this one repeats brought no result")
+        outcome = i.Outcome.ERROR if result is None else i.Outcome.OK
+        self.events.append(i.RunEnded(request.id, outcome, self.now - request.since))
+
+    # Timers: what lies in the sockets is read before a timer is told, and gauges come fresh
+
+    def _set_alarm(self) -> None:
+        if not self.timers or self.sampling:
+            return
+        due = self.timers[0][0]
+        if self.alarm and due >= self.alarm_at:
+            return
+        if self.alarm:
+            self.alarm.cancel()
+        self.alarm_at = due
+        loop = asyncio.get_running_loop()
+        self.alarm = loop.call_later(max(0.0, due - self.clock()), self._due)
+
+    def _due(self) -> None:
+        self.alarm, self.alarm_at = None, float("inf")
+        self.sampling = f"t{next(self.samples)}"
+        if self.agent.up:
+            self.agent.put(wire.Sample(self.sampling))
+            asyncio.get_running_loop().call_later(GAUGES_WITHIN, self._fire_soon, self.sampling)
+        else:
+            self._fire_soon(self.sampling)
+
+    def _sampled(self, sampled: wire.Sampled) -> None:
+        self.gauges = sampled.values
+        if sampled.tag == self.sampling:
+            self._fire()
+
+    def _fire_soon(self, tag: str, turns: int = SETTLING_TURNS) -> None:
+        """Tell due timers after a few turns of the loop, unless the gauges come first."""
+        if not tag or tag != self.sampling:
+            return
+        if turns > 0:
+            asyncio.get_running_loop().call_soon(self._fire_soon, tag, turns - 1)
+            return
+        self._fire()
+        self._settle()
+
+    def _fire(self) -> None:
+        self.sampling = ""
+        now = max(self.now, self.clock())
+        while self.timers and self.timers[0][0] <= now:
+            token = heapq.heappop(self.timers)[2]
+            self.events.append(i.Timer(token, self.gauges))
--- /dev/null
+++ b/shelfhaven/server/log.py
@@ -0,0 +1,43 @@
+"""The log: one JSON line an event on standard error.
+
+Owns the form of a line and the bound on how many a second of one event go out. It must never block on or
+fail with its reader, and never raise into what it reports on.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import sys
+import time
+from typing import Any
+
+import orjson
+
+LINES_PER_S = 20  # of one event; what is left out is counted in the next line
+
+
+class Log:
+    """Writes events."""
+
+    def __init__(self, name: str, descriptor: int | None = None) -> None:
+        self.name = name
+        self.descriptor = sys.stderr.fileno() if descriptor is None else descriptor
+        self.seconds: dict[str, tuple[int, int]] = {}  # event -> second, lines in it
+        self.left_out: dict[str, int] = {}
+
+    def event(self, event: str, **fields: Any) -> None:
+        """Write one event, unless too many of its name went out in this second."""
+        now = time.time()
+        second, lines = self.seconds.get(event, (0, 0))
+        if second != int(now):
+            second, lines = int(now), 0
+        self.seconds[event] = (second, lines + 1)
+        if lines >= LINES_PER_S:
+            self.left_out[event] = self.left_out.get(event, 0) + 1
+            return
+        if missed := self.left_out.pop(event, 0):
+            fields["left_out"] = missed
+        line = {"at": round(now, 3), "server": self.name, "event": event, **fields}
+        with contextlib.suppress(OSError, orjson.JSONEncodeError):
+            os.write(self.descriptor, orjson.dumps(line, default=str) + b"\n")
--- /dev/null
+++ b/shelfhaven/server/members.py
@@ -0,0 +1,56 @@
+"""The membership service's actor: reports by datagram that this server is there.
+
+Owns the datagram socket and the rhythm of reports.  It must never wait for the service or fail with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from shelfhaven.config import Address
+from shelfhaven.protocol import members as wire
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox
+
+EVERY = 0.5  # seconds; a server is taken off the list after 3, so five in a row may be lost
+
+
+class Members:
+    """Actor of the membership service."""
+
+    def __init__(self, address: Address, name: str, log: Log) -> None:
+        self.address, self.name = (address.host, address.port), name
+        self.mailbox: Mailbox[m.Standing] = Mailbox(self._take, log)
+        self.up = True
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.timer: asyncio.TimerHandle | None = None
+
+    def put(self, message: m.Standing) -> None:
+        """Take what is to be reported from now on."""
+        self.mailbox.put(message)
+
+    def start(self) -> None:
+        """Report from now on."""
+        self._report()
+
+    def _take(self, standing: m.Standing) -> None:
+        if standing.up != self.up:
+            self.up = standing.up
+            if self.timer:
+                self.timer.cancel()
+                self._report()
+
+    def _report(self) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.sendto(wire.report(self.name, self.up), self.address)
+        self.timer = asyncio.get_running_loop().call_later(EVERY, self._report)
+
+    def end(self) -> None:
+        """Stop reporting."""
+        if self.timer:
+            self.timer.cancel()
+        self.socket.close()
--- /dev/null
+++ b/shelfhaven/server/routers.py
@@ -0,0 +1,268 @@
+"""The routers' actors: the listener and one actor for each connection.
+
+Owns the listening socket, the connections and the ids that are open on each. It must never close a
+connection with a request open or a listener with a backlog, and never answer of its own will: answers come
+from the core.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import time
+import traceback
+from collections.abc import Callable
+from typing import TypeAlias
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+
+from shelfhaven.config import Address, Config
+from shelfhaven.protocol import jsonrpc as wire
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox
+
+READ = 64 * 1024  # bytes at a time
+BACKLOG = 1024
+OPEN_MOST = 32  # requests on a connection, by the protocol
+FULL_PAUSE = 0.05  # seconds without accepting when descriptors run out
+
+ToCore: TypeAlias = Callable[[m.Submit | m.Cancel | m.Reject | m.Check], None]
+
+
+class Names:
+    """Places of classes and tenants in the settings, by name."""
+
+    def __init__(self, config: Config) -> None:
+        self.classes = {name: place for place, name in enumerate(config.classes)}
+        self.tenants = {name: place for place, name in enumerate(config.tenants)}
+
+
+class Connection:
+    """Actor of one connection; a front of the core."""
+
+    def __init__(self, stream: IOStream, names: Names, tell: ToCore, log: Log) -> None:
+        self.stream, self.names, self.tell, self.log = stream, names, tell, log
+        self.mailbox: Mailbox[m.Answer] = Mailbox(self._take, log, self._flush)
+        self.cutter = wire.Cutter()
+        self.open: set[int] = set()
+        self.outgoing: list[bytes] = []
+        self.told = False  # that no new request is wanted on it
+        self.broken = False  # no message can be read from it any more
+        self.used = time.monotonic()
+
+    def answer(self, answer: m.Answer) -> None:
+        """Take one answer."""
+        self.mailbox.put(answer)
+
+    async def run(self) -> None:
+        """Read until the connection ends; then nobody waits for what is still open on it."""
+        try:
+            while True:
+                data = await self.stream.read_bytes(READ, partial=True)
+                if not self.broken:
+                    self._read(data)
+                if self.stream.writing():  # a router that does not take its answers is not read from
+                    await self.stream.write(b"")
+        except (OSError, StreamClosedError):
+            pass
+        except Exception:
+            self.log.event("connection_failed", error=traceback.format_exc(limit=-4))
+        finally:
+            self.stream.close()
+            for ref in self.open:
+                self.tell(m.Cancel(self, ref))
+            self.open.clear()
+
+    def _read(self, data: bytes) -> None:
+        self.used = time.monotonic()
+        try:
+            for body in self.cutter.feed(data):
+                self._message(wire.decode(body))
+        except wire.StreamError as error:
+            self.log.event("connection_broken", error=str(error), open=len(self.open))
+            self.broken = True
+            self._close_if_done()
+
+    def _message(self, message: wire.Message | None) -> None:
+        match message:
+            case wire.Request():
+                self._request(message)
+            case wire.Cancel():
+                if message.id in self.open:
+                    self.open.discard(message.id)
+                    self.tell(m.Cancel(self, message.id))
+            case wire.Check():
+                self._claim(message.id)
+                self.tell(m.Check(self, message.id))
+            case wire.Invalid():
+                self._claim(message.id)
+                self.tell(m.Reject(self, message.id, message.code, message.message))
+
+    def _claim(self, ref: int) -> None:
+        if ref in self.open:
+            raise wire.StreamError("an id that is open already")
+        self.open.add(ref)
+
+    def _request(self, request: wire.Request) -> None:
+        self._claim(request.id)
+        cls = self.names.classes.get(request.cls)
+        tenant = self.names.tenants.get(request.org, -1 if request.org else 0)
+        if cls is None:
+            self.tell(m.Reject(self, request.id, wire.NO_METHOD, "unknown method"))
+        elif tenant < 0:
+            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "org: unknown"))
+        elif len(self.open) > OPEN_MOST:
+            self.tell(m.Reject(self, request.id, wire.INVALID_REQUEST, "too many open requests"))
+        else:
+            self.tell(
+                m.Submit(
+                    front=self,
+                    ref=request.id,
+                    call=request.call,
+                    cls=cls,
+                    tenant=tenant,
+                    caller=request.src,
+                    recv=request.recv / 1000,
+                    budget=request.ttl / 1000,
+                    hint=request.work / 1000,
+                    footprint_kb=request.heap,
+                    rank=request.crit,
+                    retry=request.rep,
+                    dedupe=request.dedupe,
+                    key=request.row,
+                    body=request.body,
+                )
+            )
+
+    def _take(self, answer: m.Answer) -> None:
+        if answer.ref not in self.open:  # given up meanwhile
+            return
+        self.open.discard(answer.ref)
+        self.outgoing.append(_encode(answer))
+
+    def _flush(self) -> None:
+        if self.stream.closed():
+            self.outgoing.clear()
+            return
+        if self.outgoing:
+            data = b"".join(self.outgoing)
+            self.outgoing.clear()
+            self.used = time.monotonic()
+            self.stream.write(data)
+        self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        """A connection that cannot be read any more is closed once what it was owed is sent."""
+        if self.broken and not self.open and not self.outgoing and not self.stream.closed():
+            self.stream.write(b"").add_done_callback(lambda _: self.stream.close())
+
+    def shut(self) -> None:
+        """Tell the router to send nothing new on this connection and to close it."""
+        if not self.told and not self.stream.closed():
+            self.told = True
+            self.stream.write(wire.SHUTDOWN)
+
+
+def _encode(answer: m.Answer) -> bytes:
+    match answer:
+        case m.Served():
+            return wire.served(answer.ref, answer.body, answer.load)
+        case m.Refused():
+            pushback = round(answer.retry_after * 1000, 3)
+            return wire.error(answer.ref, wire.REFUSED, "refused", answer.load, pushback, answer.stay)
+        case m.Failed():
+            return wire.error(answer.ref, answer.code or wire.FAILED, answer.text, answer.load)
+        case m.Healthy():
+            return wire.health(answer.ref, answer.good, answer.load)
+
+
+class Listener:
+    """Actor of the listening socket; keeps the connections."""
+
+    def __init__(self, address: Address, most: int, names: Names, tell: ToCore, log: Log) -> None:
+        self.address, self.most, self.names, self.tell, self.log = address, most, names, tell, log
+        self.connections: dict[Connection, asyncio.Task[None]] = {}
+        self.socket: socket.socket | None = None
+        self.accepting = False
+        self.leaving = False
+
+    def start(self) -> None:
+        """Listen."""
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.setblocking(False)
+        self.socket.bind((self.address.host, self.address.port))
+        self.socket.listen(BACKLOG)
+        self._resume()
+
+    def _resume(self) -> None:
+        if self.socket and not self.accepting:
+            self.accepting = True
+            IOLoop.current().add_handler(self.socket, self._ready, IOLoop.READ)
+
+    def _pause(self) -> None:
+        if self.socket and self.accepting:
+            self.accepting = False
+            IOLoop.current().remove_handler(self.socket)
+
+    def _ready(self, *_: object) -> None:
+        """Accept all that is in the backlog, as far as descriptors go."""
+        while self.socket:
+            if len(self.connections) >= self.most:
+                self.log.event("connections_full", open=len(self.connections))
+                self._pause()
+                return
+            try:
+                accepted, _peer = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.log.event("accept_failed", error=str(error))
+                    self._pause()
+                    IOLoop.current().call_later(FULL_PAUSE, self._resume)
+                    return
+                continue  # that connection was given up before it was accepted
+            self._adopt(accepted)
+
+    def _adopt(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        stream = IOStream(accepted)
+        stream.set_nodelay(True)
+        connection = Connection(stream, self.names, self.tell, self.log)
+        task = asyncio.get_running_loop().create_task(connection.run())
+        self.connections[connection] = task
+        task.add_done_callback(lambda _: self._gone(connection))
+        if self.leaving:
+            connection.shut()
+
+    def _gone(self, connection: Connection) -> None:
+        self.connections.pop(connection, None)
+        self._resume()
+
+    def leave(self) -> None:
+        """Ask all routers to close their connections, those that are still to come too."""
+        self.leaving = True
+        for connection in self.connections:
+            connection.shut()
+
+    def close(self) -> None:
+        """Stop listening, with nothing left in the backlog."""
+        if self.socket:
+            self._ready()
+            self._pause()
+            self.socket.close()
+            self.socket = None
+
+    def open_requests(self) -> int:
+        """Requests on all connections whose answer is not sent yet."""
+        return sum(len(c.open) + bool(c.stream.writing() and not c.stream.closed()) for c in self.connections)
+
+    def end(self) -> None:
+        """Close the connections on which nothing is open."""
+        for connection in list(self.connections):
+            if not connection.open and not connection.stream.writing():
+                connection.stream.close()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from shelfhaven import config
 from shelfhaven.decision.interface import Advert, Below, Repeat, Stop
-from shelfhaven.drill import options, wire
+from shelfhaven.drill import wire
 from shelfhaven.drill.__main__ import Host, serve
 from shelfhaven.drill.wire import Batch, Record
 
@@ -64,7 +65,7 @@
 
 
 def test_settings_by_path() -> None:
-    s = options.parse(OPTIONS)
+    s = config.parse_lines(OPTIONS)
     assert (s.cores, s.memory_kb, s.callers, s.servers, s.cold) == (4, 9000.0, 3, 1, True)
     assert (s.stop, s.advert, s.below, s.worth_by_work) == (Stop.PAUSE, Advert.WINDOW, Below.TIER, True)
     look, pay = s.classes
