--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -26,8 +26,9 @@
 SPARE_DESCRIPTORS = 12  # standard streams, the loop, the listener, the link, the datagram socket, a file
 CLOSING_PART = 0.1  # of the time to leave: what is left when the listener is closed
 CLOSING_MOST = 0.5  # seconds
+ANSWERED_PART = 0.6  # of that time: by when the module is to have answered, so that answers get out
 CROSSING = 0.1  # seconds after `shutdown` in which a request may still cross it
-WATCH = 0.02  # seconds between looks at what is still open while leaving
+WATCH = 0.02  # seconds between looks at what is still open while closing
 
 
 class Phase(Enum):
@@ -61,11 +62,11 @@
         ledgers = max(1, int((sockets - SPARE_DESCRIPTORS) * LEDGER_PART))
         self.ledger = Ledger(config.ledger, ledgers, self.core.put, log)
         self.members = Members(config.members, config.name, log)
-        self.core.connect(self.agent, self.ledger, self.members)
         connections = max(1, sockets - SPARE_DESCRIPTORS - ledgers)
         self.listener = Listener(config.listen, connections, Names(config), self.core.put, log)
+        self.core.connect(self.agent, self.ledger, self.members, self.listener)
         self.leave = asyncio.Event()
-        self.stop_at = 0.0
+        self.stop_at = self.closing = 0.0
 
     def _enter(self, phase: Phase) -> None:
         if phase not in NEXT[self.phase]:
@@ -100,17 +101,17 @@
         """The notice to leave; a second one changes nothing."""
         if self.leave.is_set():
             return
-        self.stop_at = time.monotonic() + self.config.stop
-        self.core.put(m.Leave(self.config.stop))
+        stop = self.config.stop
+        self.stop_at = time.monotonic() + stop
+        self.closing = min(CLOSING_MOST, CLOSING_PART * stop)
+        self.core.put(m.Leave(stop - ANSWERED_PART * self.closing))
         self.leave.set()
 
     async def _drain(self) -> None:
         """Go on answering, new connections too, until no router is left or the end is near."""
         self._enter(Phase.DRAINING)
         self.listener.leave()
-        closing = self.stop_at - min(CLOSING_MOST, CLOSING_PART * self.config.stop)
-        while time.monotonic() < closing:
-            await asyncio.sleep(WATCH)
+        await asyncio.sleep(max(0.0, self.stop_at - self.closing - time.monotonic()))
 
     async def _close(self) -> None:
         """Close the listener, let what crosses that be answered, and end the connections that remain."""
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -29,8 +29,9 @@
 
 GAUGES_WITHIN = 0.01  # seconds that due timers wait for fresh gauges at most
 REDELIVERED_AFTER = 0.1  # seconds, at least, after which a timer that the module failed on comes again
+LEAST_BUDGET = 1e-6  # seconds; 0 would say that the caller did not tell
 RESULTS_PART = 1 / 16  # of the program's memory, for stored results
-SETTLING_TURNS = 3  # of the loop, in which what already lies in the sockets is read
+SETTLING_TURNS = 5  # of the loop, in which what already lies in the sockets is read
 
 ENDS = {
     "PASS": i.Outcome.OK,
@@ -77,6 +78,13 @@
         """Take what is to be reported from now on."""
 
 
+class FrontsActor(Protocol):
+    """What the core needs of the actor that keeps the fronts' connections."""
+
+    def put(self, message: m.KeepIdle) -> None:
+        """Take how long idle connections stay."""
+
+
 class Owed(Enum):
     """The answer of a request: owed, then given or released for good."""
 
@@ -145,6 +153,7 @@
         self.agent: AgentActor
         self.ledger: LedgerActor
         self.members: MembersActor
+        self.fronts: FrontsActor
         self.ids = itertools.count(1)
         self.requests: dict[int, Request] = {}
         self.by_ref: dict[tuple[int, int], Request] = {}  # answers owed, by front and ref
@@ -167,9 +176,11 @@
         self.load: float | None = None
         self.now = clock()
 
-    def connect(self, agent: AgentActor, ledger: LedgerActor, members: MembersActor) -> None:
+    def connect(
+        self, agent: AgentActor, ledger: LedgerActor, members: MembersActor, fronts: FrontsActor
+    ) -> None:
         """Learn the actors that actions go to."""
-        self.agent, self.ledger, self.members = agent, ledger, members
+        self.agent, self.ledger, self.members, self.fronts = agent, ledger, members, fronts
 
     def put(self, message: Message) -> None:
         """Take a message."""
@@ -233,7 +244,7 @@
                 caller=submit.caller,
                 footprint_kb=submit.footprint_kb,
                 tenant=submit.tenant,
-                budget=submit.budget,
+                budget=max(LEAST_BUDGET, submit.budget - age) if submit.budget > 0 else 0.0,
                 age=age,
                 hint=submit.hint,
                 same_as=request.same_as,
@@ -385,7 +396,9 @@
                 self.log.event("health", good=self.good)
             case i.Publish():
                 self.load = action.value
-            case i.CloseIdle() | i.Halt():
+            case i.CloseIdle():
+                self.fronts.put(m.KeepIdle(action.ttl))
+            case i.Halt():
                 self.log.event("no_word_for", action=type(action).__name__)
             case _:
                 request = self.requests.get(action.id)
--- a/shelfhaven/server/ledger.py
+++ b/shelfhaven/server/ledger.py
@@ -25,7 +25,7 @@
 
 READ = 64 * 1024  # bytes at a time
 IDLE_MOST = 4.0  # seconds that a connection is kept unused; the ledger closes it after 10
-SETTLING_TURNS = 3  # of the loop, in which a reply that is there already is read before the call is given up
+SETTLING_TURNS = 5  # of the loop, in which a reply that is there already is read before the call is given up
 
 
 def outcome_of(reply: http.Reply) -> Outcome:
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -61,7 +61,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """A request; `ref` is the front's name for it, `recv` the Unix time at which it reached the machine."""
+    """A request; `ref` is the front's name for it, `recv` the Unix time at which it reached the machine.
+
+    `budget` is how long its caller waits, counted from `recv` (0: not told).
+    """
 
     front: Front
     ref: int
@@ -149,6 +152,13 @@
     ref: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeepIdle:
+    """How long connections without a request may stay (0: as long as their callers like)."""
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Standing:
     """What the membership service is to be told."""
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -27,6 +27,7 @@
 READ = 64 * 1024  # bytes at a time
 BACKLOG = 1024
 OPEN_MOST = 32  # requests on a connection, by the protocol
+SWEEP_LEAST = 0.05  # seconds between looks at idle connections; a request crosses a close within 50 ms
 FULL_PAUSE = 0.05  # seconds without accepting when descriptors run out
 
 ToCore: TypeAlias = Callable[[m.Submit | m.Cancel | m.Reject | m.Check], None]
@@ -49,8 +50,10 @@
         self.cutter = wire.Cutter()
         self.open: set[int] = set()
         self.outgoing: list[bytes] = []
+        self.leaving = False  # tell the router so once a message came: the first may be on its way
         self.told = False  # that no new request is wanted on it
         self.broken = False  # no message can be read from it any more
+        self.checks = False  # health checks come on it
         self.used = time.monotonic()
 
     def answer(self, answer: m.Answer) -> None:
@@ -62,14 +65,11 @@
         try:
             while True:
                 data = await self.stream.read_bytes(READ, partial=True)
-                if not self.broken:
-                    self._read(data)
+                self._read(data)
                 if self.stream.writing():  # a router that does not take its answers is not read from
                     await self.stream.write(b"")
         except (OSError, StreamClosedError):
             pass
-        except Exception:
-            self.log.event("connection_failed", error=traceback.format_exc(limit=-4))
         finally:
             self.stream.close()
             for ref in self.open:
@@ -77,14 +77,25 @@
             self.open.clear()
 
     def _read(self, data: bytes) -> None:
+        """Take the messages in new bytes; after one that cannot be read the rest is passed over."""
+        if self.broken:
+            return
         self.used = time.monotonic()
         try:
             for body in self.cutter.feed(data):
                 self._message(wire.decode(body))
         except wire.StreamError as error:
-            self.log.event("connection_broken", error=str(error), open=len(self.open))
-            self.broken = True
-            self._close_if_done()
+            self._break(str(error))
+        except Exception:
+            self._break(traceback.format_exc(limit=-4))
+
+        if self.leaving:
+            self.shut()
+
+    def _break(self, error: str) -> None:
+        self.log.event("connection_broken", error=error, open=len(self.open))
+        self.broken = True
+        self._close_if_done()
 
     def _message(self, message: wire.Message | None) -> None:
         match message:
@@ -95,6 +106,7 @@
                     self.open.discard(message.id)
                     self.tell(m.Cancel(self, message.id))
             case wire.Check():
+                self.checks = True
                 self._claim(message.id)
                 self.tell(m.Check(self, message.id))
             case wire.Invalid():
@@ -188,6 +200,9 @@
         self.socket: socket.socket | None = None
         self.accepting = False
         self.leaving = False
+        self.mailbox: Mailbox[m.KeepIdle] = Mailbox(self._take, log)
+        self.kept_idle = 0.0  # seconds; 0: as long as routers like
+        self.sweep: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Listen."""
@@ -213,6 +228,7 @@
         while self.socket:
             if len(self.connections) >= self.most:
                 self.log.event("connections_full", open=len(self.connections))
+                self._shut_idle(time.monotonic() - SWEEP_LEAST)
                 self._pause()
                 return
             try:
@@ -237,7 +253,29 @@
         self.connections[connection] = task
         task.add_done_callback(lambda _: self._gone(connection))
         if self.leaving:
-            connection.shut()
+            connection.leaving = True
+
+    def put(self, message: m.KeepIdle) -> None:
+        """Take how long connections without a request stay."""
+        self.mailbox.put(message)
+
+    def _take(self, keep: m.KeepIdle) -> None:
+        self.kept_idle = keep.seconds
+        if self.sweep:
+            self.sweep.cancel()
+            self.sweep = None
+        if keep.seconds > 0:
+            self._sweep()
+
+    def _sweep(self) -> None:
+        """Have routers close what has been idle for too long; closing it here could cross a request."""
+        self._shut_idle(time.monotonic() - self.kept_idle)
+        self.sweep = asyncio.get_running_loop().call_later(max(self.kept_idle, SWEEP_LEAST), self._sweep)
+
+    def _shut_idle(self, before: float) -> None:
+        for connection in self.connections:
+            if not connection.open and not connection.checks and connection.used <= before:
+                connection.shut()
 
     def _gone(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
@@ -247,6 +285,7 @@
         """Ask all routers to close their connections, those that are still to come too."""
         self.leaving = True
         for connection in self.connections:
+            connection.leaving = True
             connection.shut()
 
     def close(self) -> None:
@@ -263,6 +302,8 @@
 
     def end(self) -> None:
         """Close the connections on which nothing is open."""
+        if self.sweep:
+            self.sweep.cancel()
         for connection in list(self.connections):
             if not connection.open and not connection.stream.writing():
                 connection.stream.close()
