--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -22,8 +22,7 @@
 from shelfhaven.server.routers import Listener, Names
 
 ROUTERS_PART = 1 / 2  # of the descriptors, by the protocol
-LEDGER_PART = 1 / 4
-SPARE_DESCRIPTORS = 12  # standard streams, the loop, the listener, the link, the datagram socket, a file
+SPARE_DESCRIPTORS = 12  # standard streams, the loop, listener, link and datagram socket make nine
 CLOSING_PART = 0.1  # of the time to leave: what is left when the listener is closed
 CLOSING_MOST = 0.5  # seconds
 ANSWERED_PART = 0.6  # of that time: by when the module is to have answered, so that answers get out
@@ -59,11 +58,11 @@
         sockets = config.limits.sockets
         self.core = Core(config, log)
         self.agent = Agent(config.agent, self.core.put, log)
-        ledgers = max(1, int((sockets - SPARE_DESCRIPTORS) * LEDGER_PART))
+        routers = int(sockets * ROUTERS_PART)
+        ledgers = max(1, sockets - routers - SPARE_DESCRIPTORS)  # all that routers may not hold
         self.ledger = Ledger(config.ledger, ledgers, self.core.put, log)
         self.members = Members(config.members, config.name, log)
-        connections = max(1, sockets - SPARE_DESCRIPTORS - ledgers)
-        self.listener = Listener(config.listen, connections, Names(config), self.core.put, log)
+        self.listener = Listener(config.listen, routers, Names(config), self.core.put, log)
         self.core.connect(self.agent, self.ledger, self.members, self.listener)
         self.leave = asyncio.Event()
         self.stop_at = self.closing = 0.0
