Calls use the descriptors that routers leave unused, and give them back

A call that waited for a connection gets what is left of its limit; without a socket it waits; the backlog is accepted whole before the listener closes.

--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -16,13 +16,12 @@
 from shelfhaven.server import messages as m
 from shelfhaven.server.agent import Agent
 from shelfhaven.server.core import Core
+from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.ledger import Ledger
 from shelfhaven.server.log import Log
 from shelfhaven.server.members import Members
 from shelfhaven.server.routers import Listener, Names
 
-ROUTERS_PART = 1 / 2  # of the descriptors, by the protocol
-SPARE_DESCRIPTORS = 12  # standard streams, the loop, listener, link and datagram socket make nine
 CLOSING_PART = 0.1  # of the time to leave: what is left when the listener is closed
 CLOSING_MOST = 0.5  # seconds
 ANSWERED_PART = 0.6  # of that time: by when the module is to have answered, so that answers get out
@@ -55,14 +54,12 @@
     def __init__(self, config: Config, log: Log) -> None:
         self.config, self.log = config, log
         self.phase = Phase.STARTING
-        sockets = config.limits.sockets
+        descriptors = Descriptors(config.limits.sockets)
         self.core = Core(config, log)
         self.agent = Agent(config.agent, self.core.put, log)
-        routers = int(sockets * ROUTERS_PART)
-        ledgers = max(1, sockets - routers - SPARE_DESCRIPTORS)  # all that routers may not hold
-        self.ledger = Ledger(config.ledger, ledgers, self.core.put, log)
+        self.ledger = Ledger(config.ledger, descriptors, self.core.put, log)
         self.members = Members(config.members, config.name, log)
-        self.listener = Listener(config.listen, routers, Names(config), self.core.put, log)
+        self.listener = Listener(config.listen, descriptors, Names(config), self.core.put, log)
         self.core.connect(self.agent, self.ledger, self.members, self.listener)
         self.leave = asyncio.Event()
         self.stop_at = self.closing = 0.0
--- a/shelfhaven/server/ledger.py
+++ b/shelfhaven/server/ledger.py
@@ -12,7 +12,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -20,6 +20,7 @@
 from shelfhaven.decision.interface import Outcome
 from shelfhaven.protocol import http
 from shelfhaven.server import messages as m
+from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
 
@@ -57,14 +58,20 @@
     """Actor of the ledger."""
 
     def __init__(
-        self, address: Address | None, connections: int, tell: Callable[[m.CallDone], None], log: Log
+        self,
+        address: Address | None,
+        descriptors: Descriptors,
+        tell: Callable[[m.CallDone], None],
+        log: Log,
     ) -> None:
-        self.address, self.most, self.tell, self.log = address, connections, tell, log
+        self.address, self.descriptors, self.tell, self.log = address, descriptors, tell, log
+        descriptors.on_free.append(self._assign)
+        descriptors.on_wanted.append(self._let_go)
         self.mailbox: Mailbox[m.PlaceCall | m.DropCall] = Mailbox(self._take, log)
         self.idle: list[Connection] = []
         self.busy: dict[int, Connection] = {}  # by the call's ref
         self.open: set[Connection] = set()
-        self.waiting: deque[m.PlaceCall] = deque()  # for a connection
+        self.waiting: deque[tuple[m.PlaceCall, float]] = deque()  # for a connection, and until when
         self.tasks: set[asyncio.Task[None]] = set()
 
     def put(self, message: m.PlaceCall | m.DropCall) -> None:
@@ -78,11 +85,17 @@
             self.tell(m.CallDone(message.ref, Outcome.CONNECT_FAILED))
         else:
             self._drop(message.ref)
-            self.waiting.append(message)
+            self.waiting.append((message, time.monotonic() + message.limit))
             self._assign()
-            if self.waiting and self.waiting[-1] is message:
+            if self.waiting and self.waiting[-1][0] is message:
                 asyncio.get_running_loop().call_later(message.limit, self._waited_out, message)
 
+    def _let_go(self) -> None:
+        """A router waits for a descriptor: connections without a call are not kept."""
+        for connection in self.idle:
+            connection.stream.close()
+        self.idle.clear()
+
     def _assign(self) -> None:
         """Give waiting calls a connection: one kept, if it was used lately, or a new one."""
         now = time.monotonic()
@@ -92,15 +105,23 @@
             connection = self.idle.pop() if self.idle else None
             if connection and connection.stream.closed():
                 continue
-            if connection is None and len(self.open) >= self.most:
-                return
-            call = self.waiting.popleft()
             if connection is None:
                 connection = self._connect()
-            self._begin(connection, call)
+            if connection is None:
+                return
+            call, until = self.waiting.popleft()
+            self._begin(connection, replace(call, limit=max(0.0, until - now)))
 
-    def _connect(self) -> Connection:
-        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    def _connect(self) -> Connection | None:
+        """A new connection, if there is a descriptor for it."""
+        if not self.descriptors.take_call():
+            return None
+        try:
+            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        except OSError as error:
+            self.log.event("ledger_no_socket", error=str(error))
+            self.descriptors.calls -= 1
+            return None
         connection = Connection(stream, None)
         self.open.add(connection)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
@@ -150,14 +171,14 @@
             if not connection.sent:
                 lost = Outcome.CONNECT_FAILED
             self._finish(connection, m.CallDone(0, lost))
-            self._assign()
+            self.descriptors.give_call()
 
     def _reply(self, connection: Connection, reply: http.Reply) -> None:
         if connection.call is None:
             raise http.StreamError("a reply to no call")
         connection.used = time.monotonic()
         self._finish(connection, m.CallDone(0, outcome_of(reply), reply.body))
-        if reply.keep:
+        if reply.keep and not self.descriptors.wanted:
             self.idle.append(connection)
             self._assign()
         else:
@@ -189,9 +210,11 @@
         connection.stream.close()
 
     def _waited_out(self, call: m.PlaceCall) -> None:
-        if call in self.waiting:
-            self.waiting.remove(call)
-            self.tell(m.CallDone(call.ref, Outcome.CONNECT_FAILED))
+        for waiting in self.waiting:
+            if waiting[0] is call:
+                self.waiting.remove(waiting)
+                self.tell(m.CallDone(call.ref, Outcome.CONNECT_FAILED))
+                return
 
     def _drop(self, ref: int) -> None:
         """Give up a call: closing the connection is how the ledger learns of it."""
@@ -199,7 +222,7 @@
         if connection:
             self._release(connection)
             connection.stream.close()
-        self.waiting = deque(call for call in self.waiting if call.ref != ref)
+        self.waiting = deque(waiting for waiting in self.waiting if waiting[0].ref != ref)
 
     def end(self) -> None:
         """Close all connections."""
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -22,6 +22,7 @@
 from shelfhaven.decision.interface import Repeat
 from shelfhaven.protocol import jsonrpc as wire
 from shelfhaven.server import messages as m
+from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
 
@@ -198,8 +199,12 @@
 class Listener:
     """Actor of the listening socket; keeps the connections."""
 
-    def __init__(self, address: Address, most: int, names: Names, tell: ToCore, log: Log) -> None:
-        self.address, self.most, self.names, self.tell, self.log = address, most, names, tell, log
+    def __init__(
+        self, address: Address, descriptors: Descriptors, names: Names, tell: ToCore, log: Log
+    ) -> None:
+        self.address, self.names, self.tell, self.log = address, names, tell, log
+        self.descriptors = descriptors
+        descriptors.on_free.append(self._resume)
         self.connections: dict[Connection, asyncio.Task[None]] = {}
         self.socket: socket.socket | None = None
         self.accepting = False
@@ -229,8 +234,13 @@
 
     def _ready(self, *_: object) -> None:
         """Accept all that is in the backlog, as far as descriptors go."""
+        self._accept(last=False)
+
+    def _accept(self, last: bool) -> None:
         while self.socket:
-            if len(self.connections) >= self.most:
+            if last:  # the backlog is owed, whatever it takes
+                self.descriptors.routers += 1
+            elif not self.descriptors.take_router():
                 self.log.event("connections_full", open=len(self.connections))
                 self._shut_idle(time.monotonic() - SWEEP_LEAST)
                 self._pause()
@@ -238,8 +248,10 @@
             try:
                 accepted, _peer = self.socket.accept()
             except BlockingIOError:
+                self.descriptors.routers -= 1
                 return
             except OSError as error:
+                self.descriptors.routers -= 1
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self.log.event("accept_failed", error=str(error))
                     self._pause()
@@ -283,7 +295,7 @@
 
     def _gone(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
-        self._resume()
+        self.descriptors.give_router()
 
     def leave(self) -> None:
         """Ask all routers to close their connections, those that are still to come too."""
@@ -295,7 +307,7 @@
     def close(self) -> None:
         """Stop listening, with nothing left in the backlog."""
         if self.socket:
-            self._ready()
+            self._accept(last=True)
             self._pause()
             self.socket.close()
             self.socket = None
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -345,7 +345,11 @@
     async def check() -> None:
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 28}
         async with site(limits=limits, domain={"cores": 6, "memory-kb": 1e6}) as s:
-            assert s.app.ledger.most == 2
+            held = []
+            for _ in range(3):  # routers take what calls might have used
+                held.append(await s.router())
+            s.app.ledger.descriptors.room = 5
+            s.app.ledger.descriptors.calls_least = 2
             wants_call(s)
             router = await s.router()
             for n in range(1, 7):
@@ -432,7 +436,7 @@
 def test_connections_beyond_the_descriptors_wait_in_the_backlog() -> None:
     async def check() -> None:
         async with site(limits={"cores": 1.0, "memory_mb": 192, "sockets": 20}) as s:
-            most = s.app.listener.most
+            most = s.app.listener.descriptors.routers_most
             routers = [await s.router() for _ in range(most + 1)]
             await until(lambda: len(s.app.listener.connections) == most)
             routers[-1].request(1)
