--- a/shelfhaven/server/agent.py
+++ b/shelfhaven/server/agent.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
 import traceback
@@ -23,7 +24,7 @@
 
 READ = 64 * 1024  # bytes at a time
 RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries to connect
-RESTART_MARGIN = 1.0  # seconds by which a start must be later to be another one
+RESTART_MARGIN = 1.0  # seconds, for clocks and delays, in telling an agent from the one before
 
 Teller: TypeAlias = Callable[[wire.Notice | m.LinkDown | m.AgentRestarted], None]
 
@@ -42,7 +43,7 @@
         self.links = 0
         self.barrier = ""  # tag of the sample that closes what a new link replays
         self.up = False
-        self.started = 0.0  # when the agent started, by its greeting
+        self.met = math.inf  # when the agent that is known here first greeted
         self.ended = False
 
     def put(self, message: wire.Command | wire.Sample) -> None:
@@ -91,8 +92,9 @@
         self.outgoing.clear()
         if self.up:
             self.up = False
-            self.log.event("agent_link_down")
-            self.tell(m.LinkDown())
+            if not self.ended:
+                self.log.event("agent_link_down")
+                self.tell(m.LinkDown())
 
     async def _link(self) -> None:
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
@@ -127,11 +129,12 @@
 
     def _greeted(self, greeting: wire.Greeting) -> None:
         """The agent is up; the sample is answered after all that it replays."""
-        started = time.monotonic() - greeting.ms / 1000
-        if self.started and started > self.started + RESTART_MARGIN:
+        now = time.monotonic()
+        if now - greeting.ms / 1000 > self.met + RESTART_MARGIN:  # started after it was met: another one
             self.fate.clear()
             self.tell(m.AgentRestarted())
-        self.started = started
+            self.met = now
+        self.met = min(self.met, now)
         self.tell(greeting)
         self.barrier = f"link{self.links}"
         self.outgoing.append(wire.encode(wire.Sample(self.barrier)))
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import signal
 import time
+import traceback
 from enum import Enum
+from typing import Any
 
 from shelfhaven.config import Config
 from shelfhaven.server import messages as m
@@ -22,6 +25,7 @@
 from shelfhaven.server.members import Members
 from shelfhaven.server.routers import Listener, Names
 
+LISTEN_TRIES, LISTEN_PAUSE = 30, 0.1  # seconds between tries
 CLOSING_PART = 0.1  # of the time to leave: what is left when the listener is closed
 CLOSING_MOST = 0.5  # seconds
 ANSWERED_PART = 0.6  # of that time: by when the module is to have answered, so that answers get out
@@ -77,11 +81,11 @@
             loop.add_signal_handler(number, self.notice)
         for key in self.config.unsupported:
             self.log.event("unsupported", key=f"settings.{key}")
-        self.listener.start()
+        loop.set_exception_handler(self._unhandled)
+        await self._listen()
         self.members.start()
         link = loop.create_task(self.agent.run())
-        gc.collect()
-        gc.freeze()
+        gc.freeze()  # what the start made stays; collections need not walk it
         self._enter(Phase.SERVING)
         await self.leave.wait()
         await self._drain()
@@ -93,6 +97,22 @@
         await asyncio.gather(link, return_exceptions=True)
         self._enter(Phase.ENDED)
 
+    def _unhandled(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What no actor caught is logged; the loop goes on."""
+        error = context.get("exception")
+        trace = "".join(traceback.format_exception(error)) if error else ""
+        self.log.event("unhandled", message=context.get("message"), error=trace)
+
+    async def _listen(self) -> None:
+        """Listen; a process that had the address before may need a moment to be gone."""
+        for tries_left in range(LISTEN_TRIES - 1, -1, -1):
+            try:
+                return self.listener.start()
+            except OSError as error:
+                if not tries_left or error.errno != errno.EADDRINUSE:
+                    raise
+            await asyncio.sleep(LISTEN_PAUSE)
+
     def notice(self) -> None:
         """The notice to leave; a second one changes nothing."""
         if self.leave.is_set():
@@ -114,8 +134,7 @@
         self._enter(Phase.CLOSING)
         self.listener.close()
         quiet_since = time.monotonic()
-        while self.listener.connections:
-            now = time.monotonic()
+        while self.listener.connections and (now := time.monotonic()) < self.stop_at - WATCH:
             if self.listener.open_requests():
                 quiet_since = now
             elif now - quiet_since > CROSSING:
--- a/shelfhaven/server/log.py
+++ b/shelfhaven/server/log.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import os
+import stat
 import sys
 import time
 from typing import Any
@@ -15,6 +16,7 @@
 import orjson
 
 LINES_PER_S = 20  # of one event; what is left out is counted in the next line
+TEXT_MOST = 1000  # characters of one field; a line under 4 KiB goes into a pipe whole or not at all
 
 
 class Log:
@@ -23,6 +25,8 @@
     def __init__(self, name: str, descriptor: int | None = None) -> None:
         self.name = name
         self.descriptor = sys.stderr.fileno() if descriptor is None else descriptor
+        if stat.S_ISFIFO(os.fstat(self.descriptor).st_mode):
+            os.set_blocking(self.descriptor, False)  # a reader that stands still costs lines, not the server
         self.seconds: dict[str, tuple[int, int]] = {}  # event -> second, lines in it
         self.left_out: dict[str, int] = {}
 
@@ -38,6 +42,9 @@
             return
         if missed := self.left_out.pop(event, 0):
             fields["left_out"] = missed
+        for key, value in fields.items():
+            if isinstance(value, str) and len(value) > TEXT_MOST:
+                fields[key] = value[-TEXT_MOST:]
         line = {"at": round(now, 3), "server": self.name, "event": event, **fields}
         with contextlib.suppress(OSError, orjson.JSONEncodeError):
             os.write(self.descriptor, orjson.dumps(line, default=str) + b"\n")
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -252,12 +252,12 @@
                 return
             except OSError as error:
                 self.descriptors.routers -= 1
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.log.event("accept_failed", error=str(error))
-                    self._pause()
-                    IOLoop.current().call_later(FULL_PAUSE, self._resume)
-                    return
-                continue  # that connection was given up before it was accepted
+                if error.errno in (errno.ECONNABORTED, errno.EPROTO):
+                    continue  # that connection was given up before it was accepted
+                self.log.event("accept_failed", error=str(error))
+                self._pause()
+                IOLoop.current().call_later(FULL_PAUSE, self._resume)
+                return
             self._adopt(accepted)
 
     def _adopt(self, accepted: socket.socket) -> None:
