--- a/shelfhaven/__main__.py
+++ b/shelfhaven/__main__.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import sys
 from pathlib import Path
 
@@ -14,7 +15,7 @@
 
 from shelfhaven import __version__, config
 from shelfhaven.server.app import App
-from shelfhaven.server.log import Log
+from shelfhaven.server.log import FromLibraries, Log
 
 BAD_CONFIG = 2
 
@@ -48,6 +49,7 @@
     """Run one real app server until SIGTERM."""
     loaded = _load(path)
     log = Log(loaded.name)
+    logging.getLogger().handlers = [FromLibraries(log)]
 
     async def run() -> None:
         await App(loaded, log).run()
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -15,7 +15,7 @@
 import traceback
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Protocol, TypeAlias
 
@@ -148,7 +148,9 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.config, self.log, self.clock, self.wall = config, log, clock, wall
-        self.controller = Controller(config.settings, config.seed)
+        # events are told at most so often: what the module calls a tick, and its margin is made of
+        settings = replace(config.settings, tick=max(config.settings.tick, GAUGES_WITHIN))
+        self.controller = Controller(settings, config.seed)
         self.mailbox: Mailbox[Message] = Mailbox(self._take, log)
         self.agent: AgentActor
         self.ledger: LedgerActor
--- a/shelfhaven/server/log.py
+++ b/shelfhaven/server/log.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import os
 import stat
 import sys
@@ -48,3 +49,16 @@
         line = {"at": round(now, 3), "server": self.name, "event": event, **fields}
         with contextlib.suppress(OSError, orjson.JSONEncodeError):
             os.write(self.descriptor, orjson.dumps(line, default=str) + b"\n")
+
+
+class FromLibraries(logging.Handler):
+    """What libraries say by the standard logging goes into the same log, under the same bounds."""
+
+    def __init__(self, log: Log) -> None:
+        super().__init__(logging.WARNING)
+        self.log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        with contextlib.suppress(Exception):
+            self.log.event("library", name=record.name, text=record.getMessage())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import logging
 import os
 import signal
 
@@ -12,7 +13,7 @@
 
 from shelfhaven.protocol import jsonrpc
 from shelfhaven.server.app import NEXT, App, Phase
-from shelfhaven.server.log import Log
+from shelfhaven.server.log import FromLibraries, Log
 from tests.peers import NULL, play, site, until
 
 MADE = base64.b64encode(b"made for " + f"{1:016x}".encode()).decode()
@@ -508,3 +509,18 @@
     assert lines[-1]["left_out"] == 500 - (len(lines) - 1)
     os.close(reader)
     os.close(writer)
+
+
+def test_what_libraries_report_is_an_event_too() -> None:
+    reader, writer = os.pipe()
+    logger = logging.Logger("some.library")
+    logger.addHandler(FromLibraries(Log("test", writer)))
+    logger.warning("refused by %s", "a peer")
+    logger.warning("wrong %d", "arguments")
+    logger.info("too much detail")
+    lines = [orjson.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+    assert [(line["event"], line["name"], line["text"]) for line in lines] == [
+        ("library", "some.library", "refused by a peer")
+    ]
+    os.close(reader)
+    os.close(writer)
