--- a/tests/peers.py
+++ b/tests/peers.py
@@ -119,6 +119,7 @@
         self.connections = 0
         self.closed = 0
         self.reply: bytes | None = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+        self.after_reply: Callable[[], None] = lambda: None
         self.cut_after: int | None = None  # bytes of the reply after which the connection breaks
 
     async def start(self) -> None:
@@ -137,6 +138,7 @@
                 if self.reply is None:
                     continue
                 writer.write(self.reply[: self.cut_after])
+                self.after_reply()
                 if self.cut_after is not None:
                     break
         self.closed += 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -211,7 +211,7 @@
     def check(b: Bench) -> None:
         first = b.submit(1, PAY, "k")
         b.end(first)
-        b.later(3.1)
+        b.later(3.15)
         b.submit(2, PAY, "k", recv=5000.0 + b.now - 0.2)  # reached it inside, read outside
         assert b.launched() == [first]
         assert [type(a) for a in b.answers(2)] == [m.Served]
@@ -283,6 +283,15 @@
     bench(check)
 
 
+def test_what_was_launched_is_never_refused() -> None:
+    def check(b: Bench) -> None:
+        call = b.submit(1)
+        b.core._act(i.Refuse(b.core.by_call[call].id, 0.5, True))
+        assert [type(a) for a in b.answers(1)] == [m.Failed]
+
+    bench(check)
+
+
 def test_one_try_in_hand_twice_is_answered_twice_and_run_once() -> None:
     def check(b: Bench) -> None:
         call = b.submit(1)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -220,13 +220,18 @@
 def test_replayed_notices_are_passed_over() -> None:
     async def check() -> None:
         async with site() as s:
+            wants_call(s)
             router = await s.router()
-            router.request(1)
-            await router.answer(1)
-            s.agent.send(b"".join(s.agent.notices))
-            router.request(2)
+            done = s.agent.passed
+            s.agent.passed = s.agent.hold  # type: ignore
+            call = router.request(1)
+            await until(lambda: s.agent.delivered)
+            s.agent.send(b"".join(s.agent.notices))  # it waits for that call no more
+            router.send({"jsonrpc": "2.0", "id": 2, "method": "alive"})
             await router.answer(2)
-            assert len(router.got) == 2
+            done(call)
+            assert "result" in await router.answer(1)
+            assert len(s.ledger.calls) == 1
 
     play(check)
 
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,277 @@
+"""Troubles of a whole server: stalls, short descriptors, faults inside, signals, the real process."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from shelfhaven.config import Address
+from shelfhaven.decision.interface import Outcome
+from shelfhaven.protocol import jsonrpc
+from shelfhaven.server import messages as m
+from shelfhaven.server.app import Phase
+from shelfhaven.server.descriptors import Descriptors
+from shelfhaven.server.ledger import Ledger
+from shelfhaven.server.log import Log
+from tests import peers
+from tests.peers import NULL, play, site, until
+from tests.test_config import CONFIG
+
+
+def test_after_a_stall_what_came_in_is_read_before_time_outs_are_told() -> None:
+    async def check() -> None:
+        async with site() as s:
+            s.agent.on_launch = s.agent.hold
+            router = await s.router()
+            call = router.request(1, "pay", dedupe="k")
+            await until(lambda: s.agent.launched)
+            s.agent.passed(call)  # lies in the socket
+            time.sleep(1.1)  # the loop stands still until after the request's due time
+            assert "result" in await router.answer(1)
+
+    play(check)
+
+
+def test_after_a_stall_a_reply_of_the_ledger_is_read_before_its_call_is_given_up() -> None:
+    async def check() -> None:
+        below = peers.Ledger()
+        await below.start()
+        done: list[m.CallDone] = []
+        ledger = Ledger(Address("127.0.0.1", below.port), Descriptors(64), done.append, Log("test", NULL))
+        below.after_reply = lambda: time.sleep(0.4)  # the loop stands still with the reply in the socket
+        ledger.put(m.PlaceCall(1, "a" * 16, 0.3, b""))
+        await until(lambda: done)
+        assert done == [m.CallDone(1, Outcome.OK, b"done")]
+        ledger.end()
+
+    play(check)
+
+
+def test_a_call_that_runs_out_is_given_up_and_may_have_run() -> None:
+    async def check() -> None:
+        below = peers.Ledger()
+        below.reply = None
+        await below.start()
+        done: list[m.CallDone] = []
+        ledger = Ledger(Address("127.0.0.1", below.port), Descriptors(64), done.append, Log("test", NULL))
+        ledger.put(m.PlaceCall(1, "a" * 16, 0.05, b""))
+        await until(lambda: done)
+        assert done == [m.CallDone(1, Outcome.TIMEOUT)]
+        await until(lambda: below.closed)
+        ledger.end()
+
+    play(check)
+
+
+def test_a_call_without_a_connection_in_time_never_ran() -> None:
+    async def check() -> None:
+        below = peers.Ledger()
+        below.reply = None
+        await below.start()
+        done: list[m.CallDone] = []
+        descriptors = Descriptors(64)
+        ledger = Ledger(Address("127.0.0.1", below.port), descriptors, done.append, Log("test", NULL))
+        descriptors.room = descriptors.calls_least = 1
+        ledger.put(m.PlaceCall(1, "a" * 16, 60.0, b""))
+        ledger.put(m.PlaceCall(2, "b" * 16, 0.05, b""))
+        ledger.put(m.PlaceCall(3, "c" * 16, 60.0, b""))
+        await until(lambda: done)
+        assert done == [m.CallDone(2, Outcome.CONNECT_FAILED)]
+        ledger.put(m.DropCall(1))
+        await until(lambda: len(below.calls) == 2)
+        assert [txn for txn, _ in below.calls] == ["a" * 16, "c" * 16]
+        assert done == [m.CallDone(2, Outcome.CONNECT_FAILED)]
+        ledger.end()
+
+    play(check)
+
+
+def test_a_refused_connection_proves_that_no_call_ran() -> None:
+    async def check() -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        done: list[m.CallDone] = []
+        ledger = Ledger(Address("127.0.0.1", port), Descriptors(64), done.append, Log("test", NULL))
+        ledger.put(m.PlaceCall(1, "a" * 16, 5.0, b""))
+        await until(lambda: done)
+        assert done == [m.CallDone(1, Outcome.CONNECT_FAILED)]
+
+    play(check)
+
+
+def test_a_server_of_the_last_tier_calls_nobody() -> None:
+    async def check() -> None:
+        done: list[m.CallDone] = []
+        ledger = Ledger(None, Descriptors(64), done.append, Log("test", NULL))
+        ledger.put(m.PlaceCall(1, "a" * 16, 5.0, b""))
+        await until(lambda: done)
+        assert done == [m.CallDone(1, Outcome.CONNECT_FAILED)]
+
+    play(check)
+
+
+def test_calls_wait_when_the_system_gives_no_socket(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def check() -> None:
+        below = peers.Ledger()
+        await below.start()
+        done: list[m.CallDone] = []
+        descriptors = Descriptors(64)
+        ledger = Ledger(Address("127.0.0.1", below.port), descriptors, done.append, Log("test", NULL))
+
+        def none(*_: object) -> socket.socket:
+            raise OSError(24, "too many open files")
+
+        with monkeypatch.context() as patch:
+            patch.setattr("shelfhaven.server.ledger.socket.socket", none)
+            ledger._take(m.PlaceCall(1, "a" * 16, 60.0, b""))
+        assert (done, descriptors.calls) == ([], 0)
+        descriptors.give_router()  # a descriptor is back
+        await until(lambda: done)
+        assert done == [m.CallDone(1, Outcome.OK, b"done")]
+        ledger.end()
+
+    play(check)
+
+
+def test_a_kept_connection_unused_for_long_is_not_trusted() -> None:
+    async def check() -> None:
+        async with site() as s:
+            agent = s.agent
+            agent.on_launch = lambda id_: agent.notice(f"request # {id_}", b"ask")
+            router = await s.router()
+            router.request(1)
+            await router.answer(1)
+            for connection in s.app.ledger.idle:
+                connection.used -= 5.0
+            router.request(2)
+            assert "result" in await router.answer(2)
+            assert s.ledger.connections == 2
+
+    play(check)
+
+
+def test_a_fault_in_reading_costs_its_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def check() -> None:
+        async with site() as s:
+            s.agent.on_launch = s.agent.hold
+            router, other = await s.router(), await s.router()
+            call = router.request(1)
+            await until(lambda: s.agent.launched)
+            real = jsonrpc.decode
+
+            def failing(body: bytes) -> jsonrpc.Message | None:
+                if b"poison" in body:
+                    raise RuntimeError("injected")
+                return real(body)
+
+            monkeypatch.setattr(jsonrpc, "decode", failing)
+            router.send({"jsonrpc": "2.0", "id": 2, "method": "poison"})
+            other.request(3)
+            await until(lambda: len(s.agent.launched) == 2)
+            s.agent.passed(call)
+            s.agent.passed(f"{3:016x}")
+            assert "result" in await router.answer(1)
+            assert "result" in await other.answer(3)
+            await until(lambda: router.ended)
+            assert not other.ended
+
+    play(check)
+
+
+def test_a_router_that_does_not_read_is_not_read_from() -> None:
+    async def check() -> None:
+        async with site(domain={"cores": 40, "memory-kb": 1e6}) as s:
+            address = s.app.config.listen
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow.connect((address.host, address.port))
+            slow.setblocking(False)
+            body = orjson.dumps({"jsonrpc": "2.0", "id": 1, "method": "alive"})
+            sent, loop = 0, asyncio.get_running_loop()
+            while sent < 200_000:  # asks without end, never reads
+                ask = orjson.dumps({"jsonrpc": "2.0", "id": sent + 1, "method": "x" * 200})
+                try:
+                    async with asyncio.timeout(0.3):
+                        await loop.sock_sendall(slow, b"Content-Length: %d\r\n\r\n%b" % (len(ask), ask))
+                except TimeoutError:
+                    break
+                sent += 1
+            assert sent < 200_000
+            (connection,) = s.app.listener.connections
+            assert len(connection.outgoing) <= 2000
+            router = await s.router()
+            router.send(body)
+            await router.answer(1)
+            slow.close()
+
+    play(check)
+
+
+def test_a_notice_to_leave_that_comes_twice_or_early_changes_nothing() -> None:
+    async def check() -> None:
+        async with site(stop_ms=300) as s:
+            s.app.notice()
+            at = s.app.stop_at
+            s.app.notice()
+            assert s.app.stop_at == at
+            await until(s.running.done)
+            assert s.app.phase is Phase.ENDED
+
+    play(check)
+
+
+def test_phases_cannot_be_skipped() -> None:
+    async def check() -> None:
+        async with site() as s:
+            with pytest.raises(RuntimeError, match="serving is not followed by ended"):
+                s.app._enter(Phase.ENDED)
+
+    play(check)
+
+
+def test_the_process_serves_from_a_file_and_drains_on_sigterm(tmp_path: Path) -> None:
+    async def check() -> None:
+        agent, ledger, members = peers.Agent(), peers.Ledger(), peers.Members()
+        await agent.start()
+        await ledger.start()
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        data: dict[str, Any] = CONFIG | {
+            "listen": f"127.0.0.1:{port}",
+            "agent": f"127.0.0.1:{agent.port}",
+            "ledger": f"127.0.0.1:{ledger.port}",
+            "members": f"127.0.0.1:{members.port}",
+            "stop_ms": 500,
+        }
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps(data))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "shelfhaven", "serve",
+            env=os.environ | {"GW_CONFIG": str(path)}, stderr=subprocess.PIPE,
+        )  # fmt: skip
+        await until(lambda: b"HB n3 UP" in members.reports())
+        router = peers.Router(*await asyncio.open_connection("127.0.0.1", port))
+        router.request(1)
+        assert "result" in await router.answer(1)
+        process.send_signal(signal.SIGTERM)
+        _, errors = await process.communicate()
+        assert process.returncode == 0
+        lines = [orjson.loads(line) for line in errors.splitlines()]
+        phases = [line["phase"] for line in lines if line["event"] == "phase"]
+        assert phases == ["serving", "draining", "closing", "ended"]
+        assert {line["server"] for line in lines} == {"n3"}
+        agent.stop()
+
+    play(check)
