A fault in taking a message costs no answer

Found by reading: an exception between the books and the module's event left a request owed for ever.

--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -191,6 +191,25 @@
     # Messages to events
 
     def _take(self, message: Message) -> None:
+        """Take one message; a fault in it costs no answer, and what it has led to is told all the same."""
+        try:
+            self._note(message)
+        except Exception:
+            self.log.event("message_failed", error=traceback.format_exc(limit=-4))
+            if isinstance(message, m.Submit):
+                self._fail_submit(message)
+        self._settle()
+
+    def _fail_submit(self, submit: m.Submit) -> None:
+        request = self.by_ref.get((id(submit.front), submit.ref))
+        if request is None:
+            submit.front.answer(m.Failed(submit.ref, "an error in this server", self.load))
+            return
+        self._fail(request, "an error in this server")
+        self._over(request, None)
+        self._forget_if_done(request)
+
+    def _note(self, message: Message) -> None:
         match message:
             case m.Submit():
                 self._submit(message)
@@ -221,7 +240,6 @@
                 self._call_done(message)
             case m.Leave():
                 self._leave(message)
-        self._settle()
 
     def _start(self) -> None:
         if not self.started:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -424,6 +424,41 @@
     bench(check)
 
 
+@pytest.mark.parametrize("where", ["_same_as", "wall"])
+def test_a_fault_in_taking_a_request_costs_no_answer(where: str) -> None:
+    def check(b: Bench) -> None:
+        real = getattr(b.core, where)
+
+        def failing(*_: object) -> float:
+            raise RuntimeError("injected")
+
+        setattr(b.core, where, failing)
+        b.submit(1)
+        setattr(b.core, where, real)
+        b.submit(2)
+        b.end(f"{2:016x}")
+        b.later(5.0)
+        assert [[type(a) for a in b.answers(n)] for n in (1, 2)] == [[m.Failed], [m.Served]]
+        assert not b.core.requests
+        assert not b.core.by_ref
+
+    bench(check)
+
+
+def test_a_fault_after_a_request_is_in_the_books_costs_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    def check(b: Bench) -> None:
+        def failing(**_: object) -> None:
+            raise RuntimeError("injected")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(i, "Arrival", failing)
+            b.submit(1)
+        assert [type(a) for a in b.answers(1)] == [m.Failed]
+        assert not b.core.requests
+
+    bench(check)
+
+
 STEP_NAMES = (
     "submit repeat cancel pass fail kill noop want called lost full wait refusal down restart leave health "
     "again"
