--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -473,7 +473,7 @@
 )
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@settings(max_examples=150)
 @given(STEPS)
 def test_whatever_meets_in_whatever_order_each_request_is_answered_once(
     steps: list[tuple[str, int, float]],
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -110,7 +110,7 @@
 
 
 @pytest.mark.parametrize("variant", VARIANTS)
-@settings(max_examples=60, deadline=None, derandomize=True)
+@settings(max_examples=60)
 @given(ops=st.lists(OPS, max_size=60))
 def test_rules_hold_whatever_comes(variant: str, ops: list[tuple]) -> None:  # type: ignore[type-arg]
     play(World(VARIANTS[variant]), ops)
