--- a/tests/peers.py
+++ b/tests/peers.py
@@ -242,6 +242,14 @@
         if agent_up:
             await until(lambda: self.app.agent.up)
 
+    async def running_request(self) -> tuple[Router, str]:
+        """A router whose request 1 runs until the test ends it; the name of the try."""
+        self.agent.on_launch = self.agent.hold
+        router = await self.router()
+        call = router.request(1)
+        await until(lambda: self.agent.launched)
+        return router, call
+
     async def router(self) -> Router:
         address = self.app.config.listen
         return Router(*await asyncio.open_connection(address.host, address.port))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -83,10 +83,8 @@
 def test_what_cannot_be_read_costs_its_connection_after_what_it_is_owed(bad: bytes) -> None:
     async def check() -> None:
         async with site() as s:
-            s.agent.on_launch = s.agent.hold
-            router, other = await s.router(), await s.router()
-            call = router.request(1)
-            await until(lambda: s.agent.launched)
+            router, call = await s.running_request()
+            other = await s.router()
             router.send(bad)
             other.send({"jsonrpc": "2.0", "id": 2, "method": "alive"})
             assert (await other.answer(2))["result"]["green"] is True
@@ -142,10 +140,7 @@
 def test_a_lost_connection_lets_go_of_its_requests() -> None:
     async def check() -> None:
         async with site() as s:
-            s.agent.on_launch = s.agent.hold
-            router = await s.router()
-            call = router.request(1)
-            await until(lambda: s.agent.launched)
+            router, call = await s.running_request()
             await router.close()
             s.agent.passed(call)
             await until(lambda: not s.app.core.requests)
@@ -160,10 +155,7 @@
 def test_a_cancelled_request_is_not_answered() -> None:
     async def check() -> None:
         async with site() as s:
-            s.agent.on_launch = s.agent.hold
-            router = await s.router()
-            call = router.request(1)
-            await until(lambda: s.agent.launched)
+            router, call = await s.running_request()
             router.send({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": 1}})
             router.send({"jsonrpc": "2.0", "id": 2, "method": "alive"})
             await router.answer(2)
@@ -240,10 +232,7 @@
 def test_malformed_lines_and_an_untrusted_length_do_not_end_the_server() -> None:
     async def check() -> None:
         async with site() as s:
-            s.agent.on_launch = s.agent.hold
-            router = await s.router()
-            call = router.request(1)
-            await until(lambda: s.agent.launched)
+            router, call = await s.running_request()
             s.agent.send(b"what is this\r\n")
             s.agent.send(f"outcome 1 {call} PASS\r\n".encode())
             assert "error" in await router.answer(1)
@@ -259,10 +248,7 @@
 def test_an_agent_that_started_anew_has_lost_its_runs() -> None:
     async def check() -> None:
         async with site() as s:
-            s.agent.on_launch = s.agent.hold
-            router = await s.router()
-            router.request(1)
-            await until(lambda: s.agent.launched)
+            router, _ = await s.running_request()
             s.app.agent.met -= 60  # it greets as one that started a minute after it was met
             s.agent.cut()
             assert (await router.answer(1))["error"]["code"] == jsonrpc.FAILED
@@ -391,10 +377,7 @@
 def test_leaving_answers_all_says_so_on_each_connection_and_ends() -> None:
     async def check() -> None:
         async with site(stop_ms=1500) as s:
-            s.agent.on_launch = s.agent.hold
-            router = await s.router()
-            call = router.request(1)
-            await until(lambda: s.agent.launched)
+            router, call = await s.running_request()
             os.kill(os.getpid(), signal.SIGTERM)
             await until(router.told_to_leave)
             router.request(2)  # crosses the notice
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -164,10 +164,8 @@
 def test_a_fault_in_reading_costs_its_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
     async def check() -> None:
         async with site() as s:
-            s.agent.on_launch = s.agent.hold
-            router, other = await s.router(), await s.router()
-            call = router.request(1)
-            await until(lambda: s.agent.launched)
+            router, call = await s.running_request()
+            other = await s.router()
             real = jsonrpc.decode
 
             def failing(body: bytes) -> jsonrpc.Message | None:
