Unsent commands are told from sent ones; what a malformed line ended is never launched again

Found by reading, each with a test that failed before: a launch that waited for a link and was refused on it left its run open for ever (agent.py took it for sent before); a run that a malformed outcome ended was launched once more on the next link, which could have run it twice; a key taken anew between its window and its forgetting counted its first result's bytes for ever.

--- a/shelfhaven/server/agent.py
+++ b/shelfhaven/server/agent.py
@@ -38,6 +38,7 @@
         self.stream: IOStream | None = None
         self.outgoing: list[bytes] = []
         self.fate: dict[str, wire.Command] = {}  # by run: the command that nothing was heard of since
+        self.sent: set[str] = set()  # runs whose command went out on some link
         self.sent_again: set[str] = set()  # runs whose command may have been carried out before
         self.last = 0
         self.links = self.ups = 0  # connected, and carried commands
@@ -53,6 +54,9 @@
     def _take(self, message: wire.Command | wire.Sample) -> None:
         if not isinstance(message, wire.Sample):
             self.fate[message.id] = message
+            self.sent.discard(message.id)
+            if self.up:
+                self.sent.add(message.id)
         if self.up:
             self.outgoing.append(wire.encode(message))
 
@@ -120,19 +124,28 @@
                     return
                 self.last = notice.number
                 if not isinstance(notice, wire.Aside):
-                    self.fate.pop(notice.id, None)
-                    self.sent_again.discard(notice.id)
+                    self._heard_of(notice.id)
                     self.tell(notice)
+            case wire.Malformed():
+                self._heard_of(notice.id)  # sent again, a launch could run what is over
+                self.tell(notice)
             case wire.Refusal():
                 self._refused(notice)
             case _:
                 self.tell(notice)
 
+    def _heard_of(self, id_: str) -> bool:
+        """Something was heard of a run: its command has its fate.  Whether one was open is returned."""
+        self.sent.discard(id_)
+        self.sent_again.discard(id_)
+        return self.fate.pop(id_, None) is not None
+
     def _greeted(self, greeting: wire.Greeting) -> None:
         """The agent is up; the sample is answered after all that it replays."""
         now = time.monotonic()
         if now - greeting.ms / 1000 > self.met + RESTART_MARGIN:  # started after it was met: another one
             self.fate.clear()
+            self.sent.clear()
             self.last = 0  # it counts anew
             self.tell(m.AgentRestarted())
             self.met = now
@@ -146,14 +159,13 @@
         self.barrier = ""
         self.up = True
         self.ups += 1
-        self.sent_again = set(self.fate)
+        self.sent_again = self.sent & self.fate.keys()
+        self.sent = set(self.fate)
         self.outgoing += [wire.encode(command) for command in self.fate.values()]
         self._flush()
 
     def _refused(self, refusal: wire.Refusal) -> None:
         """One refused when sent again was carried out the first time; what it led to is still to come."""
-        command = self.fate.pop(refusal.id, None)
         again = refusal.id in self.sent_again
-        self.sent_again.discard(refusal.id)
-        if command is not None and not again:
+        if self._heard_of(refusal.id) and not again:
             self.tell(refusal)
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -130,10 +130,14 @@
 
 @dataclass(slots=True)
 class Entry:
-    """One key: the try that holds it, until when, and the result once there is one."""
+    """One key: the try that holds it, until when, when it is forgotten, and the result once there is one.
+
+    What reached the machine before `until` may be read later, up to its own time limit.
+    """
 
     id: int
     until: float
+    forgotten: float
     result: bytes | None = None
 
 
@@ -486,11 +490,11 @@
 
     def _keep(self, request: Request, ttl: float) -> None:
         if request.submit.dedupe:
-            end = self.now + ttl
-            self.table[request.key] = Entry(request.id, end)
-            # one read later may have reached the machine before the end
-            late = self.config.settings.classes[request.submit.cls].deadline
-            heapq.heappush(self.table_ends, (end + late, request.key))
+            until = self.now + ttl
+            forgotten = until + self.config.settings.classes[request.submit.cls].deadline
+            self._drop_entry(request.key)  # that of a try before, and its result
+            self.table[request.key] = Entry(request.id, until, forgotten)
+            heapq.heappush(self.table_ends, (forgotten, request.key))
 
     def _store(self, request: Request, result: bytes) -> None:
         entry = self.table.get(request.key)
@@ -512,7 +516,7 @@
         while self.table_ends and self.table_ends[0][0] <= self.now:
             end, key = heapq.heappop(self.table_ends)
             entry = self.table.get(key)
-            if entry and entry.until <= end:
+            if entry and entry.forgotten <= end:
                 self._drop_entry(key)
 
     def _reuse(self, request: Request) -> None:
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -215,11 +215,16 @@
 
     def start(self) -> None:
         """Listen."""
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.setblocking(False)
-        self.socket.bind((self.address.host, self.address.port))
-        self.socket.listen(BACKLOG)
+        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening.setblocking(False)
+            listening.bind((self.address.host, self.address.port))
+            listening.listen(BACKLOG)
+        except OSError:
+            listening.close()
+            raise
+        self.socket = listening
         self._resume()
 
     def _resume(self) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -258,6 +258,22 @@
     bench(check)
 
 
+def test_a_key_taken_anew_replaces_the_result_before() -> None:
+    def check(b: Bench) -> None:
+        b.end(b.submit(1, PAY, "k"), body=b"first")
+        b.later(3.2)  # past the window, not yet forgotten
+        b.end(b.submit(2, PAY, "k"), body=b"other result")
+        assert b.core.result_bytes == len(b"other result")
+        b.later(1.0)  # the first entry's time is over, the second one's is not
+        b.submit(3, PAY, "k")
+        assert [a.body for a in b.answers(3)] == [b"other result"]
+        assert len(b.launched()) == 2
+        b.later(10.0)
+        assert (b.core.result_bytes, b.core.table, b.core.results) == (0, {}, {})
+
+    bench(check)
+
+
 def test_age_counts_from_recv_and_a_clock_stepped_back_does_no_harm() -> None:
     def check(b: Bench) -> None:
         b.submit(1, recv=5000.0 + b.now + 3600.0)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -210,6 +210,40 @@
     play(check)
 
 
+def test_a_command_refused_on_its_first_link_fails_its_run_one_sent_again_does_not() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, first = await s.running_request()
+            s.agent.stop()
+            await until(lambda: not s.app.agent.up)
+            second = router.request(2)  # launched once there is a link
+            await until(lambda: second in s.app.agent.fate)
+            s.agent.on_launch = lambda id_: s.agent.send(f"refusal launch {id_}\r\n".encode())
+            await s.agent.start()
+            assert "error" in await router.answer(2)
+            assert [call for call, _, _ in s.agent.launched] == [first, first, second]
+            s.agent.passed(first)
+            assert "result" in await router.answer(1)
+            assert not s.app.agent.fate
+
+    play(check)
+
+
+def test_a_run_that_a_malformed_line_ended_is_not_launched_again() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            s.agent.send(f"outcome 1 {call} PASS\r\n".encode())
+            assert "error" in await router.answer(1)
+            s.agent.cut()
+            await until(lambda: len(s.agent.subscribed) == 2 and s.app.agent.up)
+            router.request(2)
+            await until(lambda: len(s.agent.launched) == 2)
+            assert [id_ for id_, _, _ in s.agent.launched] == [call, f"{2:016x}"]
+
+    play(check)
+
+
 def test_replayed_notices_are_passed_over() -> None:
     async def check() -> None:
         async with site() as s:
