--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -229,6 +229,39 @@
     play(check)
 
 
+def test_a_membership_service_that_is_down_does_no_harm() -> None:
+    async def check() -> None:
+        async with site() as s:
+            s.members.socket.close()
+            for _ in range(3):  # the second report learns that nobody takes the first
+                s.app.members._report()
+                await asyncio.sleep(0)
+            s.app.members.put(m.Standing(False))
+            router = await s.router()
+            router.request(1)
+            assert "result" in await router.answer(1)
+            assert s.app.members.timer is not None
+            assert not s.app.members.timer.cancelled()
+
+    play(check)
+
+
+def test_a_router_that_stalls_in_mid_message_holds_up_nobody() -> None:
+    async def check() -> None:
+        async with site(stop_ms=600) as s:
+            stalled, router = await s.router(), await s.router()
+            stalled.writer.write(b"Content-Length: 400\r\n\r\n{")
+            router.request(1)
+            assert "result" in await router.answer(1)
+            s.app.notice()
+            await until(s.running.done)
+            assert s.running.exception() is None
+            await until(lambda: stalled.ended)
+            assert [message.get("method") for message in stalled.got] == ["shutdown"]
+
+    play(check)
+
+
 def test_phases_cannot_be_skipped() -> None:
     async def check() -> None:
         async with site() as s:
