What starts on a new agent is not failed with what the old one lost

Found on reading the whole change: _agent_restarted told the module of each lost run before it had ended the others, so a held request that the module then launched on the new agent was failed in the same walk. All lost runs now end first; the module is told after. The test failed before.

--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -349,7 +349,6 @@
         for request in list(self.requests.values()):
             if request.stage in RUN:
                 self._run_ended(request, i.Outcome.ERROR, 0.0)
-                self._settle()
 
     def _leave(self, leave: m.Leave) -> None:
         self.draining = True
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -343,6 +343,25 @@
     bench(check)
 
 
+def test_what_starts_on_a_new_agent_is_not_failed_with_what_the_old_one_lost() -> None:
+    def check(b: Bench) -> None:
+        for ref in range(1, 6):
+            b.submit(ref)
+        lost = b.launched()
+        held = [r.submit.call for r in b.core.requests.values() if r.submit.call not in lost]
+        assert held
+        b.tell(m.AgentRestarted())
+        assert all([type(a) for a in b.answers(int(call, 16))] == [m.Failed] for call in lost)
+        started = [call for call in b.launched() if call not in lost]
+        assert started
+        for call in started:
+            assert b.answers(int(call, 16)) == []
+            b.end(call)
+            assert [type(a) for a in b.answers(int(call, 16))] == [m.Served]
+
+    bench(check)
+
+
 def test_gauges_come_before_due_timers_and_a_link_down_does_not_hold_them() -> None:
     def check(b: Bench) -> None:
         b.now += 0.1
