One piece where the server repeated itself; state that could be derived is gone

No behaviour is meant to change. Core: one way to look up a running request, an entry, what an event concerns, to give up and to set a timer; the timers' unused delay dropped; one actor protocol in place of four. Core and ledger share the wait for what the sockets hold (mailbox.py). Agent: how often a command went out is counted with it, in place of two sets beside it. Ledger: the rule that what was never sent never ran stands once. JSON-RPC: the load field is added in one place, an unused code dropped. The phases' edge that nothing took is gone.

--- a/shelfhaven/__main__.py
+++ b/shelfhaven/__main__.py
@@ -50,12 +50,8 @@
     loaded = _load(path)
     log = Log(loaded.name)
     logging.getLogger().handlers = [FromLibraries(log)]
-
-    async def run() -> None:
-        await App(loaded, log).run()
-
     try:
-        asyncio.run(run())
+        asyncio.run(App(loaded, log).run())
     except OSError as error:
         log.event("cannot_start", error=str(error))
         sys.exit(1)
--- a/shelfhaven/config.py
+++ b/shelfhaven/config.py
@@ -46,6 +46,10 @@
     """A configuration that cannot be used; the text names the key at fault."""
 
 
+def _is_true(text: str) -> bool:
+    return text.lower() in ("true", "1")
+
+
 class Options:
     """Settings by path, with a default for what is absent."""
 
@@ -73,7 +77,7 @@
         return value
 
     def flag(self, path: str, default: bool = False) -> bool:
-        return self.pairs.get(path, str(default)).lower() in ("true", "1")
+        return _is_true(self.pairs.get(path, str(default)))
 
     def items(self, path: str) -> list[str]:
         return [item for item in self.pairs.get(path, "").split(",") if item]
@@ -104,7 +108,7 @@
         late_worth=o.number(f"{path}.late-worth"),
         repeat=o.word(f"{path}.repeat", REPEATS, "once"),
         window=o.number(f"{path}.key-ttl"),
-        calls=number < len(calls) and calls[number].lower() in ("true", "1"),
+        calls=number < len(calls) and _is_true(calls[number]),
         skip_worth=o.item_number("domain.class-skip-worth", number),
         aim_stretch=o.number(f"{path}.aim-stretch"),
     )
--- a/shelfhaven/protocol/jsonrpc.py
+++ b/shelfhaven/protocol/jsonrpc.py
@@ -11,7 +11,7 @@
 import math
 import re
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeGuard
 
 import orjson
 
@@ -23,7 +23,7 @@
 CALL = re.compile(r"[0-9a-f]{16}\Z")
 ROW = re.compile(r"[0-9a-f]{1,16}\Z")
 
-PARSE_ERROR, INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
+INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32600, -32601, -32602
 REFUSED, FAILED = -32000, -32001
 
 
@@ -124,7 +124,7 @@
     """A parameter that is missing or of the wrong kind."""
 
 
-def _is_id(value: Any) -> bool:
+def _is_id(value: Any) -> TypeGuard[int]:
     return type(value) is int and 0 < value < MAX_ID
 
 
@@ -144,7 +144,7 @@
         return Cancel(params["id"])
     if "id" not in message:
         return None
-    if not isinstance(id_, int) or not _is_id(id_):
+    if not _is_id(id_):
         raise StreamError("a message whose id is no number from 1 up")
     if message.get("jsonrpc") != "2.0" or not isinstance(method, str) or not method:
         return Invalid(id_, INVALID_REQUEST, "not a request of JSON-RPC 2.0")
@@ -222,11 +222,14 @@
     return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
+def _loaded(fields: dict[str, Any], load: float | None) -> dict[str, Any]:
+    """An answer's fields, with the published value once there is one."""
+    return fields if load is None else fields | {"load": load}
+
+
 def served(id_: int, body: bytes, load: float | None) -> bytes:
     """The answer that carries a run's result."""
-    result: dict[str, Any] = {"body": base64.b64encode(body).decode()}
-    if load is not None:
-        result["load"] = load
+    result = _loaded({"body": base64.b64encode(body).decode()}, load)
     return _frame({"jsonrpc": "2.0", "id": id_, "result": result})
 
 
@@ -234,9 +237,7 @@
     id_: int, code: int, message: str, load: float | None, pushback_ms: float = 0.0, stop: bool = False
 ) -> bytes:
     """An answer that carries no result: refused, failed or invalid."""
-    data: dict[str, Any] = {}
-    if load is not None:
-        data["load"] = load
+    data = _loaded({}, load)
     if pushback_ms > 0:
         data["pushback"] = pushback_ms
     if stop:
@@ -249,9 +250,7 @@
 
 def health(id_: int, good: bool, load: float | None) -> bytes:
     """The answer to a health check."""
-    result: dict[str, Any] = {"green": good}
-    if load is not None:
-        result["load"] = load
+    result = _loaded({"green": good}, load)
     return _frame({"jsonrpc": "2.0", "id": id_, "result": result})
 
 
--- a/shelfhaven/server/agent.py
+++ b/shelfhaven/server/agent.py
@@ -12,6 +12,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeAlias
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -29,6 +30,14 @@
 Teller: TypeAlias = Callable[[wire.Notice | m.LinkDown | m.AgentRestarted], None]
 
 
+@dataclass(slots=True)
+class Pending:
+    """A command that nothing was heard of yet, and on how many links it went out."""
+
+    command: wire.Command
+    links: int
+
+
 class Agent:
     """Actor of the render farm agent."""
 
@@ -37,9 +46,7 @@
         self.mailbox: Mailbox[wire.Command | wire.Sample] = Mailbox(self._take, log, self._flush)
         self.stream: IOStream | None = None
         self.outgoing: list[bytes] = []
-        self.fate: dict[str, wire.Command] = {}  # by run: the command that nothing was heard of since
-        self.sent: set[str] = set()  # runs whose command went out on some link
-        self.sent_again: set[str] = set()  # runs whose command may have been carried out before
+        self.fate: dict[str, Pending] = {}  # by run: the command that nothing was heard of since
         self.last = 0
         self.links = self.ups = 0  # connected, and carried commands
         self.barrier = ""  # tag of the sample that closes what a new link replays
@@ -53,10 +60,7 @@
 
     def _take(self, message: wire.Command | wire.Sample) -> None:
         if not isinstance(message, wire.Sample):
-            self.fate[message.id] = message
-            self.sent.discard(message.id)
-            if self.up:
-                self.sent.add(message.id)
+            self.fate[message.id] = Pending(message, int(self.up))
         if self.up:
             self.outgoing.append(wire.encode(message))
 
@@ -134,18 +138,15 @@
             case _:
                 self.tell(notice)
 
-    def _heard_of(self, id_: str) -> bool:
-        """Something was heard of a run: its command has its fate.  Whether one was open is returned."""
-        self.sent.discard(id_)
-        self.sent_again.discard(id_)
-        return self.fate.pop(id_, None) is not None
+    def _heard_of(self, id_: str) -> Pending | None:
+        """Something was heard of a run: its command, if one was open, has its fate."""
+        return self.fate.pop(id_, None)
 
     def _greeted(self, greeting: wire.Greeting) -> None:
         """The agent is up; the sample is answered after all that it replays."""
         now = time.monotonic()
         if now - greeting.ms / 1000 > self.met + RESTART_MARGIN:  # started after it was met: another one
             self.fate.clear()
-            self.sent.clear()
             self.last = 0  # it counts anew
             self.tell(m.AgentRestarted())
             self.met = now
@@ -159,13 +160,13 @@
         self.barrier = ""
         self.up = True
         self.ups += 1
-        self.sent_again = self.sent & self.fate.keys()
-        self.sent = set(self.fate)
-        self.outgoing += [wire.encode(command) for command in self.fate.values()]
+        for pending in self.fate.values():
+            pending.links += 1
+            self.outgoing.append(wire.encode(pending.command))
         self._flush()
 
     def _refused(self, refusal: wire.Refusal) -> None:
         """One refused when sent again was carried out the first time; what it led to is still to come."""
-        again = refusal.id in self.sent_again
-        if self._heard_of(refusal.id) and not again:
+        pending = self._heard_of(refusal.id)
+        if pending and pending.links < 2:
             self.tell(refusal)
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -44,7 +44,7 @@
 
 
 NEXT = {
-    Phase.STARTING: {Phase.SERVING, Phase.ENDED},
+    Phase.STARTING: {Phase.SERVING},
     Phase.SERVING: {Phase.DRAINING},
     Phase.DRAINING: {Phase.CLOSING},
     Phase.CLOSING: {Phase.ENDED},
@@ -124,7 +124,7 @@
         self.leave.set()
 
     async def _drain(self) -> None:
-        """Go on answering, new connections too, until no router is left or the end is near."""
+        """Go on answering, new connections too, until the end is near."""
         self._enter(Phase.DRAINING)
         self.listener.leave()
         await asyncio.sleep(max(0.0, self.stop_at - self.closing - time.monotonic()))
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import Protocol, TypeAlias
+from typing import Protocol, TypeAlias, TypeVar
 
 from shelfhaven.config import Config
 from shelfhaven.decision import interface as i
@@ -25,13 +25,13 @@
 from shelfhaven.protocol import agent as wire
 from shelfhaven.server import messages as m
 from shelfhaven.server.log import Log
-from shelfhaven.server.mailbox import Mailbox
+from shelfhaven.server.mailbox import Mailbox, after_reading
 
 GAUGES_WITHIN = 0.01  # seconds that due timers wait for fresh gauges at most
-REDELIVERED_AFTER = 0.1  # seconds, at least, after which a timer that the module failed on comes again
+FAULT = "an error in this server"
+REDELIVERED_AFTER = 0.1  # seconds after which a timer that the module failed on comes again
 LEAST_BUDGET = 1e-6  # seconds; 0 would say that the caller did not tell
 RESULTS_PART = 1 / 16  # of the program's memory, for stored results
-SETTLING_TURNS = 5  # of the loop, in which what already lies in the sockets is read
 
 ENDS = {
     "PASS": i.Outcome.OK,
@@ -53,36 +53,27 @@
 )
 
 
-class AgentActor(Protocol):
-    """What the core needs of the agent's actor."""
-
-    @property
-    def up(self) -> bool:
-        """Whether the link carries commands just now."""
+Told = TypeVar("Told", contravariant=True)
 
-    def put(self, message: wire.Command | wire.Sample) -> None:
-        """Take a command."""
 
+class Actor(Protocol[Told]):
+    """What the core needs of an actor."""
 
-class LedgerActor(Protocol):
-    """What the core needs of the ledger's actor."""
-
-    def put(self, message: m.PlaceCall | m.DropCall) -> None:
-        """Take a call or give one up."""
-
+    def put(self, message: Told) -> None:
+        """Take a message."""
 
-class MembersActor(Protocol):
-    """What the core needs of the actor that reports to the membership service."""
 
-    def put(self, message: m.Standing) -> None:
-        """Take what is to be reported from now on."""
+class AgentActor(Actor[wire.Command | wire.Sample], Protocol):
+    """What the core needs of the agent's actor."""
 
+    @property
+    def up(self) -> bool:
+        """Whether the link carries commands just now."""
 
-class FrontsActor(Protocol):
-    """What the core needs of the actor that keeps the fronts' connections."""
 
-    def put(self, message: m.KeepIdle) -> None:
-        """Take how long idle connections stay."""
+LedgerActor: TypeAlias = Actor[m.PlaceCall | m.DropCall]
+MembersActor: TypeAlias = Actor[m.Standing]
+FrontsActor: TypeAlias = Actor[m.KeepIdle]
 
 
 class Owed(Enum):
@@ -170,7 +161,7 @@
         self.result_bytes = 0
         self.result_room = int(config.limits.memory_mb * RESULTS_PART * (1 << 20))
         self.events: deque[i.Event] = deque()  # told to the module after the actions in hand
-        self.timers: list[tuple[float, int, int, float]] = []  # due, order, token, delay
+        self.timers: list[tuple[float, int, int]] = []  # due, order, token
         self.order = itertools.count()
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = float("inf")
@@ -207,10 +198,9 @@
     def _fail_submit(self, submit: m.Submit) -> None:
         request = self.by_ref.get((id(submit.front), submit.ref))
         if request is None:
-            submit.front.answer(m.Failed(submit.ref, "an error in this server", self.load))
+            submit.front.answer(m.Failed(submit.ref, FAULT, self.load))
             return
-        self._fail(request, "an error in this server")
-        self._over(request, None)
+        self._give_up(request, FAULT)
         self._forget_if_done(request)
 
     def _note(self, message: Message) -> None:
@@ -292,18 +282,25 @@
         request.owed = Owed.RELEASED
         self.events.append(i.Gone(request.id))
 
+    def _run_of(self, call: str) -> Request | None:
+        """The request of that name, if it runs."""
+        request = self.by_call.get(call)
+        return request if request and request.stage in RUN else None
+
+    def _drop_call(self, request: Request) -> None:
+        if request.stage is Stage.CALLING:
+            self.ledger.put(m.DropCall(request.id))
+
     def _outcome(self, outcome: wire.Outcome) -> None:
-        request = self.by_call.get(outcome.id)
-        end = ENDS.get(outcome.end)
-        if request is None or request.stage not in RUN:
+        request, end = self._run_of(outcome.id), ENDS.get(outcome.end)
+        if request is None:
             return
         if end is None:
             self.log.event("agent_unknown_end", end=outcome.end)
         self._run_ended(request, end or i.Outcome.ERROR, outcome.ms / 1000, outcome.body)
 
     def _run_ended(self, request: Request, end: i.Outcome, spent: float, body: bytes = b"") -> None:
-        if request.stage is Stage.CALLING:
-            self.ledger.put(m.DropCall(request.id))
+        self._drop_call(request)
         self._over(request, body if end is i.Outcome.OK else None)
         if end is i.Outcome.OK:
             self._answer(request, m.Served(request.submit.ref, body, self.load))
@@ -312,11 +309,10 @@
         self.events.append(i.RunEnded(request.id, end, spent))
 
     def _wanted(self, wanted: wire.Wanted) -> None:
-        request = self.by_call.get(wanted.id)
-        if request is None or request.stage not in RUN:
+        request = self._run_of(wanted.id)
+        if request is None:
             return
-        if request.stage is Stage.CALLING:  # it waits for another call by now
-            self.ledger.put(m.DropCall(request.id))
+        self._drop_call(request)  # it waits for another by now
         request.stage, request.notice, request.call_body = Stage.AT_CALL, wanted.number, wanted.body
         self.events.append(i.NeedsCall(request.id))
 
@@ -332,16 +328,15 @@
         self.events.append(i.CallEnded(request.id, done.outcome, self.clock() - request.since))
 
     def _refused_command(self, refusal: wire.Refusal) -> None:
-        request = self.by_call.get(refusal.id)
+        request = self._run_of(refusal.id)
         self.log.event("agent_refused", command=refusal.command, call=refusal.id)
-        if request and request.stage in RUN:  # nothing more will be heard of it
+        if request:  # nothing more will be heard of it
             never = refusal.command == "launch"
             self._run_ended(request, i.Outcome.MOOT if never else i.Outcome.ERROR, 0.0)
 
     def _malformed(self, line: wire.Malformed) -> None:
         self.log.event("agent_malformed", line=line.line)
-        request = self.by_call.get(line.id)
-        if request and request.stage in RUN:
+        if request := self._run_of(line.id):
             self._run_ended(request, i.Outcome.ERROR, 0.0)
 
     def _agent_restarted(self) -> None:
@@ -362,9 +357,9 @@
         """Tell the module what has happened, one event at a time, until nothing is left to tell."""
         while self.events:
             event = self.events.popleft()
-            now = self.now = max(self.now, self.clock())
+            self.now = max(self.now, self.clock())
             try:
-                actions = self.controller.on_event(now, event)
+                actions = self.controller.on_event(self.now, event)
             except Exception:
                 self.log.event("module_failed", error=traceback.format_exc(limit=-4))
                 self._salvage(event)
@@ -381,24 +376,22 @@
     def _salvage(self, event: i.Event) -> None:
         """The module failed on an event: what it concerns is answered, and a timer comes again."""
         if isinstance(event, i.Timer):
-            delay = REDELIVERED_AFTER
-            heapq.heappush(self.timers, (self.now + delay, next(self.order), event.token, delay))
-        elif not isinstance(event, i.Started | i.Drain):
-            request = self.requests.get(event.id)
-            if request:
-                self._fail(request, "an error in this server")
-                if request.stage in UNRUN:
-                    self._over(request, None)
+            self._set_timer(event.token, REDELIVERED_AFTER)
+        elif request := self._concerned(event):
+            self._give_up(request, FAULT)
 
     def _tidy(self, event: i.Event) -> None:
         """Forget the request of an event once it is answered and its work is over."""
-        if isinstance(event, i.Started | i.Drain | i.Timer):
+        request = self._concerned(event)
+        if request is None:
             return
-        request = self.requests.get(event.id)
-        if request and request.owed is Owed.RELEASED and request.stage in UNRUN:
+        if request.owed is Owed.RELEASED and request.stage in UNRUN:
             self._over(request, None)
-        if request:
-            self._forget_if_done(request)
+        self._forget_if_done(request)
+
+    def _concerned(self, event: i.Event) -> Request | None:
+        """The request that an event is about, if it is about one that is still in the books."""
+        return None if isinstance(event, i.Started | i.Drain | i.Timer) else self.requests.get(event.id)
 
     def _forget_if_done(self, request: Request) -> None:
         if request.owed is not Owed.OWED and request.stage is Stage.OVER:
@@ -410,8 +403,7 @@
     def _act(self, action: i.Action) -> None:
         match action:
             case i.SetTimer():
-                due = self.now + action.delay
-                heapq.heappush(self.timers, (due, next(self.order), action.token, action.delay))
+                self._set_timer(action.token, action.delay)
             case i.Health():
                 self.good = action.good
                 up = not self.draining and (self.good or not self.config.settings.readiness)
@@ -440,14 +432,11 @@
             case i.Refuse():
                 self._refuse(request, action)
             case i.Fail():
-                self._fail(request, "given up")
-                if request.stage in UNRUN:
-                    self._over(request, None)
+                self._give_up(request, "given up")
             case i.Keep():
                 self._keep(request, action.ttl)
             case i.Forget():
-                entry = self.table.get(request.key)
-                if entry and entry.id == request.id:
+                if self._entry(request.key, request.id):
                     self._drop_entry(request.key)
             case i.Reuse() if request.stage is Stage.HELD:
                 self._reuse(request)
@@ -469,6 +458,12 @@
     def _fail(self, request: Request, text: str) -> None:
         self._answer(request, m.Failed(request.submit.ref, text, self.load))
 
+    def _give_up(self, request: Request, text: str) -> None:
+        """Answer as failed; what has not run never will, what runs goes on."""
+        self._fail(request, text)
+        if request.stage in UNRUN:
+            self._over(request, None)
+
     def _refuse(self, request: Request, action: i.Refuse) -> None:
         if request.launched:  # a refusal would promise that it never ran
             self._fail(request, "given up")
@@ -487,6 +482,11 @@
 
     # Keys and results
 
+    def _entry(self, key: tuple[int, str], id_: int) -> Entry | None:
+        """The entry of a key, if that try holds it."""
+        entry = self.table.get(key)
+        return entry if entry and entry.id == id_ else None
+
     def _keep(self, request: Request, ttl: float) -> None:
         if request.submit.dedupe:
             until = self.now + ttl
@@ -496,8 +496,8 @@
             heapq.heappush(self.table_ends, (forgotten, request.key))
 
     def _store(self, request: Request, result: bytes) -> None:
-        entry = self.table.get(request.key)
-        if entry is None or entry.id != request.id:
+        entry = self._entry(request.key, request.id)
+        if entry is None:
             return
         entry.result = result
         self.results[request.key] = len(result)
@@ -524,8 +524,8 @@
         if original and original.stage is not Stage.OVER:
             original.waiters.append(request.id)
             return
-        entry = self.table.get(request.key)
-        self._reuse_ended(request, entry.result if entry and entry.id == request.same_as else None)
+        entry = self._entry(request.key, request.same_as)
+        self._reuse_ended(request, entry.result if entry else None)
 
     def _reuse_ended(self, request: Request | None, result: bytes | None) -> None:
         if request is None or request.stage is not Stage.REUSING:
@@ -540,6 +540,9 @@
 
     # Timers: what lies in the sockets is read before a timer is told, and gauges come fresh
 
+    def _set_timer(self, token: int, delay: float) -> None:
+        heapq.heappush(self.timers, (self.now + delay, next(self.order), token))
+
     def _set_alarm(self) -> None:
         if not self.timers or self.sampling:
             return
@@ -566,15 +569,14 @@
         if sampled.tag == self.sampling:
             self._fire()
 
-    def _fire_soon(self, tag: str, turns: int = SETTLING_TURNS) -> None:
-        """Tell due timers after a few turns of the loop, unless the gauges come first."""
-        if not tag or tag != self.sampling:
-            return
-        if turns > 0:
-            asyncio.get_running_loop().call_soon(self._fire_soon, tag, turns - 1)
-            return
-        self._fire()
-        self._settle()
+    def _fire_soon(self, tag: str) -> None:
+        """Tell due timers once the sockets are read, unless the gauges come first."""
+        after_reading(self._fire_unless_sampled, tag)
+
+    def _fire_unless_sampled(self, tag: str) -> None:
+        if tag and tag == self.sampling:
+            self._fire()
+            self._settle()
 
     def _fire(self) -> None:
         self.sampling = ""
--- a/shelfhaven/server/ledger.py
+++ b/shelfhaven/server/ledger.py
@@ -22,11 +22,10 @@
 from shelfhaven.server import messages as m
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
-from shelfhaven.server.mailbox import Mailbox
+from shelfhaven.server.mailbox import Mailbox, after_reading
 
 READ = 64 * 1024  # bytes at a time
 IDLE_MOST = 4.0  # seconds that a connection is kept unused; the ledger closes it after 10
-SETTLING_TURNS = 5  # of the loop, in which a reply that is there already is read before the call is given up
 
 
 def outcome_of(reply: http.Reply) -> Outcome:
@@ -133,7 +132,7 @@
         connection.call, connection.sent = call, False
         self.busy[call.ref] = connection
         loop = asyncio.get_running_loop()
-        connection.timer = loop.call_later(call.limit, self._ran_out, connection, call, SETTLING_TURNS)
+        connection.timer = loop.call_later(call.limit, after_reading, self._ran_out, connection, call)
         if connection.used:  # else it is sent once connected
             self._send(connection)
 
@@ -147,7 +146,6 @@
     async def _serve(self, connection: Connection) -> None:
         """Connect, then read replies until the connection ends."""
         assert self.address is not None
-        lost = Outcome.RESET
         try:
             await connection.stream.connect((self.address.host, self.address.port))
             connection.stream.set_nodelay(True)
@@ -168,26 +166,28 @@
             self.open.discard(connection)
             if connection in self.idle:
                 self.idle.remove(connection)
-            if not connection.sent:
-                lost = Outcome.CONNECT_FAILED
-            self._finish(connection, m.CallDone(0, lost))
+            self._lose(connection, Outcome.RESET)
             self.descriptors.give_call()
 
     def _reply(self, connection: Connection, reply: http.Reply) -> None:
         if connection.call is None:
             raise http.StreamError("a reply to no call")
         connection.used = time.monotonic()
-        self._finish(connection, m.CallDone(0, outcome_of(reply), reply.body))
+        self._finish(connection, outcome_of(reply), reply.body)
         if reply.keep and not self.descriptors.wanted:
             self.idle.append(connection)
             self._assign()
         else:
             connection.stream.close()
 
-    def _finish(self, connection: Connection, done: m.CallDone) -> None:
+    def _finish(self, connection: Connection, outcome: Outcome, body: bytes = b"") -> None:
         call = self._release(connection)
         if call:
-            self.tell(m.CallDone(call.ref, done.outcome, done.body))
+            self.tell(m.CallDone(call.ref, outcome, body))
+
+    def _lose(self, connection: Connection, outcome: Outcome) -> None:
+        """The call ends without a reply: what was never sent never ran."""
+        self._finish(connection, outcome if connection.sent else Outcome.CONNECT_FAILED)
 
     def _release(self, connection: Connection) -> m.PlaceCall | None:
         """Take the call off its connection; nothing more is told of it."""
@@ -199,15 +199,10 @@
             self.busy.pop(call.ref, None)
         return call
 
-    def _ran_out(self, connection: Connection, call: m.PlaceCall, turns: int) -> None:
-        if connection.call is not call:
-            return
-        if turns > 0:
-            asyncio.get_running_loop().call_soon(self._ran_out, connection, call, turns - 1)
-            return
-        unsent = not connection.sent
-        self._finish(connection, m.CallDone(0, Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT))
-        connection.stream.close()
+    def _ran_out(self, connection: Connection, call: m.PlaceCall) -> None:
+        if connection.call is call:
+            self._lose(connection, Outcome.TIMEOUT)
+            connection.stream.close()
 
     def _waited_out(self, call: m.PlaceCall) -> None:
         for waiting in self.waiting:
--- a/shelfhaven/server/mailbox.py
+++ b/shelfhaven/server/mailbox.py
@@ -1,7 +1,7 @@
 """Mailboxes: how actors take messages, one at a time.
 
-Owns the queue of one actor and its turn in the loop. It must never reorder or drop a message; an exception
-of the actor is logged and costs the one message that raised it.
+Owns the queue of one actor and its turn in the loop, and the wait for what the sockets hold. It must never
+reorder or drop a message; an exception of the actor is logged and costs the one message that raised it.
 """
 
 from __future__ import annotations
@@ -10,11 +10,22 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from functools import partial
+from typing import Generic, TypeVar, TypeVarTuple
 
 from shelfhaven.server.log import Log
 
 T = TypeVar("T")
+Ts = TypeVarTuple("Ts")
+SETTLING_TURNS = 5  # of the loop, in which what already lies in the sockets is read and handled
+
+
+def after_reading(call: Callable[[*Ts], None], *args: *Ts, turns: int = SETTLING_TURNS) -> None:
+    """Call once what lies in the sockets is read: a late loop must not break a due time."""
+    if turns > 0:
+        asyncio.get_running_loop().call_soon(partial(after_reading, call, *args, turns=turns - 1))
+    else:
+        call(*args)
 
 
 class Mailbox(Generic[T]):
@@ -37,13 +48,12 @@
     def _turn(self) -> None:
         self.scheduled = False
         while self.queue:
-            message = self.queue.popleft()
-            try:
-                self.handle(message)
-            except Exception:
-                self.log.event("actor_failed", error=traceback.format_exc(limit=-4))
+            self._guarded(self.handle, self.queue.popleft())
         if self.after:
-            try:
-                self.after()
-            except Exception:
-                self.log.event("actor_failed", error=traceback.format_exc(limit=-4))
+            self._guarded(self.after)
+
+    def _guarded(self, call: Callable[[*Ts], None], *args: *Ts) -> None:
+        try:
+            call(*args)
+        except Exception:
+            self.log.event("actor_failed", error=traceback.format_exc(limit=-4))
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -91,7 +91,6 @@
             self._break(str(error))
         except Exception:
             self._break(traceback.format_exc(limit=-4))
-
         if self.leaving:
             self.shut()
 
@@ -273,8 +272,7 @@
         task = asyncio.get_running_loop().create_task(connection.run())
         self.connections[connection] = task
         task.add_done_callback(lambda _: self._gone(connection))
-        if self.leaving:
-            connection.leaving = True
+        connection.leaving = self.leaving
 
     def put(self, message: m.KeepIdle) -> None:
         """Take how long connections without a request stay."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -82,7 +82,7 @@
         while self.core.timers and self.core.timers[0][0] <= until:
             self.now = max(self.now, self.core.timers[0][0])
             self.core._due()
-            self.core._fire_soon(self.core.sampling, 0)
+            self.core._fire_unless_sampled(self.core.sampling)
         self.now = until
 
     def answers(self, ref: int) -> list[Any]:
@@ -378,7 +378,7 @@
         b.now += 0.1
         b.core._due()
         assert len(b.agent.of(wire.Sample)) == 1
-        b.core._fire_soon(b.core.sampling, 0)
+        b.core._fire_unless_sampled(b.core.sampling)
         assert b.core.timers[0][0] > b.now
 
     bench(check)
