--- a/tests/peers.py
+++ b/tests/peers.py
@@ -24,6 +24,14 @@
 SOON = 10.0  # seconds; a step that takes longer has failed
 
 
+def free_port() -> int:
+    """A loopback port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 async def until(true: Callable[[], Any]) -> None:
     """Wait for something to become true."""
     async with asyncio.timeout(SOON):
@@ -230,10 +238,11 @@
         data["settings"]["domain"].update(settings)
         data["settings"]["classes"][0].update({"deadline": 6.0, "on-time": 4.0})
         data.update(changes)
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        for key, used in (("listen", port), ("agent", self.agent.port), ("members", self.members.port)):
+        for key, used in (
+            ("listen", free_port()),
+            ("agent", self.agent.port),
+            ("members", self.members.port),
+        ):
             data[key] = f"127.0.0.1:{used}"
         data["ledger"] = f"127.0.0.1:{self.ledger.port}"
         self.app = App(config.parse_json(orjson.dumps(data)), Log("test", NULL))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,7 +15,7 @@
 from shelfhaven.server.agent import RETRY_MOST
 from shelfhaven.server.app import NEXT, App, Phase
 from shelfhaven.server.log import FromLibraries, Log
-from tests.peers import NULL, play, site, until
+from tests.peers import NULL, Site, play, site, until
 
 MADE = base64.b64encode(b"made for " + f"{1:016x}".encode()).decode()
 
@@ -300,9 +300,9 @@
 # The ledger
 
 
-def wants_call(s: object) -> None:
+def wants_call(s: Site) -> None:
     """The agent asks for a call on each launch."""
-    agent = s.agent  # type: ignore[attr-defined]
+    agent = s.agent
     agent.on_launch = lambda id_: agent.notice(f"request # {id_}", b"call of " + id_.encode())
 
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -24,10 +24,18 @@
 from shelfhaven.server.ledger import Ledger
 from shelfhaven.server.log import Log
 from tests import peers
-from tests.peers import NULL, play, site, until
+from tests.peers import NULL, free_port, play, site, until
 from tests.test_config import CONFIG
 
 
+def calling(port: int | None) -> tuple[Ledger, Descriptors, list[m.CallDone]]:
+    """The ledger's actor, the descriptors that it may use, and what it tells of its calls."""
+    done: list[m.CallDone] = []
+    descriptors = Descriptors(64)
+    address = None if port is None else Address("127.0.0.1", port)
+    return Ledger(address, descriptors, done.append, Log("test", NULL)), descriptors, done
+
+
 def test_after_a_stall_what_came_in_is_read_before_time_outs_are_told() -> None:
     async def check() -> None:
         async with site() as s:
@@ -46,8 +54,7 @@
     async def check() -> None:
         below = peers.Ledger()
         await below.start()
-        done: list[m.CallDone] = []
-        ledger = Ledger(Address("127.0.0.1", below.port), Descriptors(64), done.append, Log("test", NULL))
+        ledger, _, done = calling(below.port)
         below.after_reply = lambda: time.sleep(0.4)  # the loop stands still with the reply in the socket
         ledger.put(m.PlaceCall(1, "a" * 16, 0.3, b""))
         await until(lambda: done)
@@ -62,8 +69,7 @@
         below = peers.Ledger()
         below.reply = None
         await below.start()
-        done: list[m.CallDone] = []
-        ledger = Ledger(Address("127.0.0.1", below.port), Descriptors(64), done.append, Log("test", NULL))
+        ledger, _, done = calling(below.port)
         ledger.put(m.PlaceCall(1, "a" * 16, 0.05, b""))
         await until(lambda: done)
         assert done == [m.CallDone(1, Outcome.TIMEOUT)]
@@ -78,9 +84,7 @@
         below = peers.Ledger()
         below.reply = None
         await below.start()
-        done: list[m.CallDone] = []
-        descriptors = Descriptors(64)
-        ledger = Ledger(Address("127.0.0.1", below.port), descriptors, done.append, Log("test", NULL))
+        ledger, descriptors, done = calling(below.port)
         descriptors.room = descriptors.calls_least = 1
         ledger.put(m.PlaceCall(1, "a" * 16, 60.0, b""))
         ledger.put(m.PlaceCall(2, "b" * 16, 0.05, b""))
@@ -98,11 +102,7 @@
 
 def test_a_refused_connection_proves_that_no_call_ran() -> None:
     async def check() -> None:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        done: list[m.CallDone] = []
-        ledger = Ledger(Address("127.0.0.1", port), Descriptors(64), done.append, Log("test", NULL))
+        ledger, _, done = calling(free_port())
         ledger.put(m.PlaceCall(1, "a" * 16, 5.0, b""))
         await until(lambda: done)
         assert done == [m.CallDone(1, Outcome.CONNECT_FAILED)]
@@ -112,8 +112,7 @@
 
 def test_a_server_of_the_last_tier_calls_nobody() -> None:
     async def check() -> None:
-        done: list[m.CallDone] = []
-        ledger = Ledger(None, Descriptors(64), done.append, Log("test", NULL))
+        ledger, _, done = calling(None)
         ledger.put(m.PlaceCall(1, "a" * 16, 5.0, b""))
         await until(lambda: done)
         assert done == [m.CallDone(1, Outcome.CONNECT_FAILED)]
@@ -125,9 +124,7 @@
     async def check() -> None:
         below = peers.Ledger()
         await below.start()
-        done: list[m.CallDone] = []
-        descriptors = Descriptors(64)
-        ledger = Ledger(Address("127.0.0.1", below.port), descriptors, done.append, Log("test", NULL))
+        ledger, descriptors, done = calling(below.port)
 
         def none(*_: object) -> socket.socket:
             raise OSError(24, "too many open files")
@@ -276,9 +273,7 @@
         agent, ledger, members = peers.Agent(), peers.Ledger(), peers.Members()
         await agent.start()
         await ledger.start()
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         data: dict[str, Any] = CONFIG | {
             "listen": f"127.0.0.1:{port}",
             "agent": f"127.0.0.1:{agent.port}",
