SIGHUP moves the peers; keys include bodies; unused and silent connections make room

Now those without anything open, unread or on its way are closed when all are taken, silent ones first, and who does not send a whole message within 1.5 s is told so and closed on.

--- a/shelfhaven/__main__.py
+++ b/shelfhaven/__main__.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import signal
 import sys
 from pathlib import Path
 
@@ -47,11 +48,13 @@
 @config_option
 def serve(path: Path) -> None:
     """Run one real app server until SIGTERM."""
+    # a notice of a new file waits until it can be taken
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     loaded = _load(path)
     log = Log(loaded.name)
     logging.getLogger().handlers = [FromLibraries(log)]
     try:
-        asyncio.run(App(loaded, log).run())
+        asyncio.run(App(loaded, log, path).run())
     except OSError as error:
         log.event("cannot_start", error=str(error))
         sys.exit(1)
--- a/shelfhaven/protocol/jsonrpc.py
+++ b/shelfhaven/protocol/jsonrpc.py
@@ -23,7 +23,7 @@
 CALL = re.compile(r"[0-9a-f]{16}\Z")
 ROW = re.compile(r"[0-9a-f]{1,16}\Z")
 
-INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32600, -32601, -32602
+PARSE_ERROR, INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
 REFUSED, FAILED = -32000, -32001
 
 
@@ -234,7 +234,7 @@
 
 
 def error(
-    id_: int, code: int, message: str, load: float | None, pushback_ms: float = 0.0, stop: bool = False
+    id_: int | None, code: int, message: str, load: float | None, pushback_ms: float = 0.0, stop: bool = False
 ) -> bytes:
     """An answer that carries no result: refused, failed or invalid."""
     data = _loaded({}, load)
@@ -254,4 +254,5 @@
     return _frame({"jsonrpc": "2.0", "id": id_, "result": result})
 
 
+UNREADABLE = error(None, PARSE_ERROR, "cannot be read; this connection is closed", None)
 SHUTDOWN = _frame({"jsonrpc": "2.0", "method": "shutdown"})
--- a/shelfhaven/server/agent.py
+++ b/shelfhaven/server/agent.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import socket
 import time
@@ -53,6 +54,7 @@
         self.up = False
         self.met = math.inf  # when the agent that is known here first greeted
         self.ended = False
+        self.sooner = asyncio.Event()  # the pause before the next link is over
 
     def put(self, message: wire.Command | wire.Sample) -> None:
         """Take a command."""
@@ -87,7 +89,21 @@
             # a link that breaks before all was read may break at the same place again
             pause = RETRY_FIRST if self.ups > ups else min(2 * pause, RETRY_MOST)
             if not self.ended:
-                await asyncio.sleep(pause)
+                await self._wait(pause)
+
+    async def _wait(self, pause: float) -> None:
+        """Wait before the next link, unless the agent moves."""
+        self.sooner.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.sooner.wait(), pause)
+
+    def move(self, address: Address) -> None:
+        """The agent is reached at another address from now on; runs and notice numbers go on."""
+        if address != self.address:
+            self.address = address
+            self.sooner.set()
+            if self.stream:  # what its last commands led to is read on the new link, or they are sent again
+                self.stream.close()
 
     def end(self) -> None:
         """Close the link for good."""
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -12,9 +12,12 @@
 import signal
 import time
 import traceback
+from dataclasses import fields, replace
 from enum import Enum
+from pathlib import Path
 from typing import Any
 
+from shelfhaven import config
 from shelfhaven.config import Config
 from shelfhaven.server import messages as m
 from shelfhaven.server.agent import Agent
@@ -30,6 +33,7 @@
 CLOSING_MOST = 0.8  # seconds
 ANSWERED_PART = 0.4  # of that time is left when the module has answered all, so that answers get out
 CROSSING = 0.1  # seconds after `shutdown` in which a request may still cross it
+PEERS = ("agent", "ledger", "members")  # whose addresses a new configuration file changes
 WATCH = 0.02  # seconds between looks at what is still open while closing
 
 
@@ -55,15 +59,15 @@
 class App:
     """One real app server."""
 
-    def __init__(self, config: Config, log: Log) -> None:
-        self.config, self.log = config, log
+    def __init__(self, first: Config, log: Log, path: Path | None = None) -> None:
+        self.config, self.log, self.path = first, log, path
         self.phase = Phase.STARTING
-        descriptors = Descriptors(config.limits.sockets)
-        self.core = Core(config, log)
-        self.agent = Agent(config.agent, self.core.put, log)
-        self.ledger = Ledger(config.ledger, descriptors, self.core.put, log)
-        self.members = Members(config.members, config.name, log)
-        self.listener = Listener(config.listen, descriptors, Names(config), self.core.put, log)
+        descriptors = Descriptors(first.limits.sockets)
+        self.core = Core(first, log)
+        self.agent = Agent(first.agent, self.core.put, log)
+        self.ledger = Ledger(first.ledger, descriptors, self.core.put, log)
+        self.members = Members(first.members, first.name, log)
+        self.listener = Listener(first.listen, descriptors, Names(first), self.core.put, log)
         self.core.connect(self.agent, self.ledger, self.members, self.listener)
         self.leave = asyncio.Event()
         self.stop_at = self.closing = 0.0
@@ -79,6 +83,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.notice)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         for key in self.config.unsupported:
             self.log.event("unsupported", key=f"settings.{key}")
         loop.set_exception_handler(self._unhandled)
@@ -95,6 +101,7 @@
         self.members.end()
         link.cancel()
         await asyncio.gather(link, return_exceptions=True)
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # the loop's end gives its handler back
         self._enter(Phase.ENDED)
 
     def _unhandled(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -113,6 +120,27 @@
                     raise
             await asyncio.sleep(LISTEN_PAUSE)
 
+    def reload(self) -> None:
+        """Take the peers' new addresses from the file; a faulty one leaves everything as it is.
+
+        Names, limits and settings belong to the process: they change with its next start.
+        """
+        if self.path is None:
+            return
+        try:
+            new = config.load(self.path)
+        except config.ConfigError as error:
+            self.log.event("reload_refused", error=str(error))
+            return
+        moved = [key for key in PEERS if getattr(new, key) != getattr(self.config, key)]
+        fixed = [f.name for f in fields(new) if f.name not in (*PEERS, "seed")]
+        kept = [key for key in fixed if getattr(new, key) != getattr(self.config, key)]
+        self.config = replace(self.config, **{key: getattr(new, key) for key in PEERS})
+        self.log.event("reloaded", moved=moved, kept_until_restart=kept)
+        self.agent.move(new.agent)
+        self.ledger.move(new.ledger)
+        self.members.move(new.members)
+
     def notice(self) -> None:
         """The notice to leave; a second one changes nothing."""
         if self.leave.is_set():
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import heapq
 import itertools
 import time
@@ -31,6 +32,7 @@
 FAULT = "an error in this server"
 REDELIVERED_AFTER = 0.1  # seconds after which a timer that the module failed on comes again
 LEAST_BUDGET = 1e-6  # seconds; 0 would say that the caller did not tell
+DIGEST = 16  # bytes
 RESULTS_PART = 1 / 16  # of the program's memory, for stored results
 
 ENDS = {
@@ -53,6 +55,7 @@
 )
 
 
+Key: TypeAlias = tuple[int, str, bytes]  # class, key, digest of the body
 Told = TypeVar("Told", contravariant=True)
 
 
@@ -105,6 +108,7 @@
 
     id: int
     submit: m.Submit
+    digest: bytes = b""  # of the body, in keyed classes
     owed: Owed = Owed.OWED
     stage: Stage = Stage.HELD
     launched: bool = False
@@ -115,8 +119,9 @@
     waiters: list[int] = field(default_factory=list)
 
     @property
-    def key(self) -> tuple[int, str]:
-        return self.submit.cls, self.submit.dedupe
+    def key(self) -> Key:
+        """All tries of one request carry the same body: a key with another body is another request's."""
+        return self.submit.cls, self.submit.dedupe, self.digest
 
 
 @dataclass(slots=True)
@@ -155,9 +160,9 @@
         self.requests: dict[int, Request] = {}
         self.by_ref: dict[tuple[int, int], Request] = {}  # answers owed, by front and ref
         self.by_call: dict[str, Request] = {}  # what may run or runs, by the name that the agent knows
-        self.table: dict[tuple[int, str], Entry] = {}
-        self.table_ends: list[tuple[float, tuple[int, str]]] = []
-        self.results: OrderedDict[tuple[int, str], int] = OrderedDict()  # stored results, oldest first: sizes
+        self.table: dict[Key, Entry] = {}
+        self.table_ends: list[tuple[float, Key]] = []
+        self.results: OrderedDict[Key, int] = OrderedDict()  # stored results, oldest first: sizes
         self.result_bytes = 0
         self.result_room = int(config.limits.memory_mb * RESULTS_PART * (1 << 20))
         self.events: deque[i.Event] = deque()  # told to the module after the actions in hand
@@ -247,6 +252,8 @@
             submit.front.answer(m.Failed(submit.ref, "this try is in hand already", self.load))
             return
         request = Request(next(self.ids), submit)
+        if submit.dedupe:
+            request.digest = hashlib.blake2b(submit.body, digest_size=DIGEST).digest()
         age = max(0.0, self.wall() - submit.recv)
         request.same_as = self._same_as(request, self.clock() - age)
         self.requests[request.id] = self.by_call[submit.call] = request
@@ -482,7 +489,7 @@
 
     # Keys and results
 
-    def _entry(self, key: tuple[int, str], id_: int) -> Entry | None:
+    def _entry(self, key: Key, id_: int) -> Entry | None:
         """The entry of a key, if that try holds it."""
         entry = self.table.get(key)
         return entry if entry and entry.id == id_ else None
@@ -507,7 +514,7 @@
             self.result_bytes -= size
             self.table[key].result = None  # the fact that it ran stays
 
-    def _drop_entry(self, key: tuple[int, str]) -> None:
+    def _drop_entry(self, key: Key) -> None:
         self.result_bytes -= self.results.pop(key, 0)
         self.table.pop(key, None)
 
--- a/shelfhaven/server/ledger.py
+++ b/shelfhaven/server/ledger.py
@@ -47,6 +47,7 @@
     """One connection and the call on it."""
 
     stream: IOStream
+    address: Address
     call: m.PlaceCall | None
     sent: bool = False
     used: float = 0.0
@@ -73,6 +74,19 @@
         self.waiting: deque[tuple[m.PlaceCall, float]] = deque()  # for a connection, and until when
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def move(self, address: Address | None) -> None:
+        """Place calls at another address from now on; those sent are still answered at the old one."""
+        if address == self.address:
+            return
+        self.address = address
+        for connection in list(self.open):
+            call = connection.call
+            if call is None or not connection.sent:
+                self._release(connection)
+                connection.stream.close()
+                if call:
+                    self._take(call)
+
     def put(self, message: m.PlaceCall | m.DropCall) -> None:
         """Take a call or give one up."""
         self.mailbox.put(message)
@@ -113,7 +127,7 @@
 
     def _connect(self) -> Connection | None:
         """A new connection, if there is a descriptor for it."""
-        if not self.descriptors.take_call():
+        if self.address is None or not self.descriptors.take_call():
             return None
         try:
             stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
@@ -121,7 +135,7 @@
             self.log.event("ledger_no_socket", error=str(error))
             self.descriptors.calls -= 1
             return None
-        connection = Connection(stream, None)
+        connection = Connection(stream, self.address, None)
         self.open.add(connection)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self.tasks.add(task)
@@ -141,13 +155,12 @@
         if call and not connection.stream.closed():
             connection.sent = True
             limit = max(1, int(call.limit * 1000))
-            connection.stream.write(http.post(str(self.address), call.txn, limit, call.body))
+            connection.stream.write(http.post(str(connection.address), call.txn, limit, call.body))
 
     async def _serve(self, connection: Connection) -> None:
         """Connect, then read replies until the connection ends."""
-        assert self.address is not None
         try:
-            await connection.stream.connect((self.address.host, self.address.port))
+            await connection.stream.connect((connection.address.host, connection.address.port))
             connection.stream.set_nodelay(True)
             connection.used = time.monotonic()
             self._send(connection)
@@ -174,7 +187,7 @@
             raise http.StreamError("a reply to no call")
         connection.used = time.monotonic()
         self._finish(connection, outcome_of(reply), reply.body)
-        if reply.keep and not self.descriptors.wanted:
+        if reply.keep and not self.descriptors.wanted and connection.address == self.address:
             self.idle.append(connection)
             self._assign()
         else:
--- a/shelfhaven/server/members.py
+++ b/shelfhaven/server/members.py
@@ -33,6 +33,14 @@
         """Take what is to be reported from now on."""
         self.mailbox.put(message)
 
+    def move(self, address: Address) -> None:
+        """Report to another address from now on, and at once: the last report may have been lost."""
+        if (address.host, address.port) != self.address:
+            self.address = (address.host, address.port)
+            if self.timer:
+                self.timer.cancel()
+                self._report()
+
     def start(self) -> None:
         """Report from now on."""
         self._report()
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -24,12 +24,16 @@
 from shelfhaven.server import messages as m
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
-from shelfhaven.server.mailbox import Mailbox
+from shelfhaven.server.mailbox import Mailbox, after_reading
 
 READ = 64 * 1024  # bytes at a time
 BACKLOG = 1024
 OPEN_MOST = 32  # requests on a connection, by the protocol
 SWEEP_LEAST = 0.05  # seconds between looks at idle connections; a request crosses a close within 50 ms
+CROSSING = 0.05  # seconds in which a request may cross a close, by the protocol
+MESSAGE_WITHIN = 1.5  # seconds for a whole message; who connects to be silent is closed on within 3
+WATCH = 0.25  # seconds between looks at connections that keep one waiting
+ROOM_AT_ONCE = 8  # connections closed at a time when all are taken
 FULL_PAUSE = 0.05  # seconds without accepting when descriptors run out
 
 ToCore: TypeAlias = Callable[[m.Submit | m.Cancel | m.Reject | m.Check], None]
@@ -57,7 +61,10 @@
         self.told = False  # that no new request is wanted on it
         self.broken = False  # no message can be read from it any more
         self.checks = False  # health checks come on it
-        self.used = time.monotonic()
+        self.used = time.monotonic()  # last message or answer
+        self.waits_since = self.used  # a message is awaited: from the start, then from its first byte
+        self.silent = True  # no whole message came yet
+        self.done = asyncio.Event()  # nothing is owed on a broken connection any more
 
     def answer(self, answer: m.Answer) -> None:
         """Take one answer."""
@@ -66,11 +73,13 @@
     async def run(self) -> None:
         """Read until the connection ends; then nobody waits for what is still open on it."""
         try:
-            while True:
+            while not self.broken:
                 data = await self.stream.read_bytes(READ, partial=True)
                 self._read(data)
                 if self.stream.writing():  # a router that does not take its answers is not read from
                     await self.stream.write(b"")
+            await self.done.wait()
+            await self.stream.write(b"")  # what is on its way gets out before the close
         except (OSError, StreamClosedError):
             pass
         finally:
@@ -83,21 +92,46 @@
         """Take the messages in new bytes; after one that cannot be read the rest is passed over."""
         if self.broken:
             return
-        self.used = time.monotonic()
+        now = time.monotonic()
+        if not self.cutter.unread:
+            self.waits_since = now
         try:
             for body in self.cutter.feed(data):
+                self.used = self.waits_since = now
+                self.silent = False
                 self._message(wire.decode(body))
         except wire.StreamError as error:
-            self._break(str(error))
+            self.end_broken(str(error))
         except Exception:
-            self._break(traceback.format_exc(limit=-4))
+            self.end_broken(traceback.format_exc(limit=-4))
         if self.leaving:
             self.shut()
 
-    def _break(self, error: str) -> None:
+    def end_broken(self, error: str) -> None:
+        """Read nothing more; say why, and close once what is owed is sent."""
+        if self.broken:
+            return
         self.log.event("connection_broken", error=error, open=len(self.open))
         self.broken = True
-        self._close_if_done()
+        self.outgoing.append(wire.UNREADABLE)
+        self._flush()
+
+    def spare(self, now: float) -> bool:
+        """Whether this connection can be closed with nothing lost: nothing is open, unread or on its way."""
+        if self.open or self.outgoing or self.broken or now - self.used < CROSSING or self.stream.closed():
+            return False
+        if self.cutter.unread or self.stream.writing():
+            return False
+        try:
+            return not self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return True
+
+    def stalls(self, now: float) -> bool:
+        """Whether a whole message has been awaited for too long, from the first byte or from the start."""
+        return (self.silent or bool(self.cutter.unread)) and now - self.waits_since > MESSAGE_WITHIN
 
     def _message(self, message: wire.Message | None) -> None:
         match message:
@@ -162,6 +196,7 @@
     def _flush(self) -> None:
         if self.stream.closed():
             self.outgoing.clear()
+            self.done.set()
             return
         if self.outgoing:
             data = b"".join(self.outgoing)
@@ -172,8 +207,10 @@
 
     def _close_if_done(self) -> None:
         """A connection that cannot be read any more is closed once what it was owed is sent."""
-        if self.broken and not self.open and not self.outgoing and not self.stream.closed():
-            self.stream.write(b"").add_done_callback(lambda _: self.stream.close())
+        if self.broken and not self.open and not self.outgoing:
+            self.done.set()
+            if not self.stream.closed():  # it may still be read from, in vain
+                self.stream.write(b"").add_done_callback(lambda _: self.stream.close())
 
     def shut(self) -> None:
         """Tell the router to send nothing new on this connection and to close it."""
@@ -211,6 +248,7 @@
         self.mailbox: Mailbox[m.KeepIdle] = Mailbox(self._take, log)
         self.kept_idle = 0.0  # seconds; 0: as long as routers like
         self.sweep: asyncio.TimerHandle | None = None
+        self.watch: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Listen."""
@@ -225,6 +263,7 @@
             raise
         self.socket = listening
         self._resume()
+        self._watch()
 
     def _resume(self) -> None:
         if self.socket and not self.accepting:
@@ -245,9 +284,11 @@
             if last:  # the backlog is owed, whatever it takes
                 self.descriptors.routers += 1
             elif not self.descriptors.take_router():
+                if self._make_room():
+                    continue
                 self.log.event("connections_full", open=len(self.connections))
-                self._shut_idle(time.monotonic() - SWEEP_LEAST)
                 self._pause()
+                IOLoop.current().call_later(FULL_PAUSE, self._resume)
                 return
             try:
                 accepted, _peer = self.socket.accept()
@@ -264,6 +305,27 @@
                 return
             self._adopt(accepted)
 
+    def _make_room(self) -> bool:
+        """Close connections that nobody uses, those that never asked anything first: others wait to ask."""
+        now = time.monotonic()
+        closed = 0
+        for connection in sorted(self.connections, key=lambda c: (not c.silent, c.used)):
+            if connection.spare(now):
+                connection.stream.close()
+                self._gone(connection)
+                closed += 1
+                if closed == ROOM_AT_ONCE:
+                    break
+        return closed > 0
+
+    def _watch(self) -> None:
+        """End connections that keep one waiting for a message; what lies in the sockets is read first."""
+        now = time.monotonic()
+        for connection in list(self.connections):
+            if connection.stalls(now):
+                connection.end_broken("no whole message in time")
+        self.watch = asyncio.get_running_loop().call_later(WATCH, after_reading, self._watch)
+
     def _adopt(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)
         stream = IOStream(accepted)
@@ -297,8 +359,8 @@
                 connection.shut()
 
     def _gone(self, connection: Connection) -> None:
-        self.connections.pop(connection, None)
-        self.descriptors.give_router()
+        if self.connections.pop(connection, None):
+            self.descriptors.give_router()
 
     def leave(self) -> None:
         """Ask all routers to close their connections, those that are still to come too."""
@@ -321,8 +383,9 @@
 
     def end(self) -> None:
         """Close the connections on which nothing is open."""
-        if self.sweep:
-            self.sweep.cancel()
+        for timer in (self.sweep, self.watch):
+            if timer:
+                timer.cancel()
         for connection in list(self.connections):
             if not connection.open and not connection.stream.writing():
                 connection.stream.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -8,8 +8,10 @@
 import copy
 import os
 import socket
+import tempfile
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -125,6 +127,7 @@
         self.server: asyncio.Server | None = None
         self.calls: list[tuple[str, bytes]] = []
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.closed = 0
         self.reply: bytes | None = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
         self.after_reply: Callable[[], None] = lambda: None
@@ -136,6 +139,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -227,6 +231,9 @@
         self.agent, self.ledger, self.members = Agent(), Ledger(), Members()
         self.app: App
         self.running: asyncio.Task[None]
+        self.folder = tempfile.TemporaryDirectory()
+        self.path: Path
+        self.data: dict[str, Any]
 
     async def start(self, agent_up: bool = True, **changes: Any) -> None:
         await self.agent.start()
@@ -245,12 +252,20 @@
         ):
             data[key] = f"127.0.0.1:{used}"
         data["ledger"] = f"127.0.0.1:{self.ledger.port}"
-        self.app = App(config.parse_json(orjson.dumps(data)), Log("test", NULL))
+        self.data = data
+        self.path = Path(self.folder.name) / "config.json"
+        self.rewrite()
+        self.app = App(config.load(self.path), Log("test", NULL), self.path)
         self.running = asyncio.get_running_loop().create_task(self.app.run())
         await until(lambda: self.app.listener.socket)
         if agent_up:
             await until(lambda: self.app.agent.up)
 
+    def rewrite(self, **changes: Any) -> None:
+        """Replace the configuration file."""
+        self.data |= changes
+        self.path.write_bytes(orjson.dumps(self.data))
+
     async def running_request(self) -> tuple[Router, str]:
         """A router whose request 1 runs until the test ends it; the name of the try."""
         self.agent.on_launch = self.agent.hold
@@ -275,6 +290,7 @@
         if not running.running.done():
             running.running.cancel()
         await asyncio.gather(running.running, return_exceptions=True)
+        running.folder.cleanup()
 
 
 def play(test: Callable[[], Awaitable[None]]) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -207,6 +207,17 @@
     bench(check)
 
 
+def test_a_key_with_another_body_is_not_served_from_the_try_that_ran() -> None:
+    def check(b: Bench) -> None:
+        b.end(b.submit(1, PAY, "k"))
+        b.submit(2, PAY, "k", body=b"another")
+        assert not b.answers(2)
+        b.submit(3, PAY, "k")
+        assert [a.body for a in b.answers(3)] == [b"result"]
+
+    bench(check)
+
+
 def test_a_keyed_try_runs_again_only_when_it_reached_the_machine_after_the_window() -> None:
     def check(b: Bench) -> None:
         first = b.submit(1, PAY, "k")
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,180 @@
+"""A new configuration file, announced by SIGHUP: peers move, nothing is lost, run twice or called twice."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+import pytest
+
+from shelfhaven.server.app import Phase
+from tests import peers
+from tests.peers import play, site, until
+
+
+async def another_agent(of: peers.Agent) -> peers.Agent:
+    """The same agent at another address: notices carry on."""
+    new = peers.Agent()
+    new.notices, new.born = of.notices, of.born
+    started = [id_ for id_, *_ in of.launched]
+    new.on_launch = lambda id_: None if id_ in started else new.passed(id_)
+    await new.start()
+    return new
+
+
+def test_runs_and_notice_numbers_go_on_at_the_new_address_of_the_agent() -> None:
+    async def check() -> None:
+        async with site() as s:
+            first = await s.router()
+            first.request(1)
+            await first.answer(1)
+            router, call = await s.running_request()
+            new = await another_agent(s.agent)
+            s.rewrite(agent=f"127.0.0.1:{new.port}")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: new.subscribed)
+            assert new.subscribed == [1]
+            await until(lambda: s.app.agent.up and s.app.agent.ups == 2)
+            new.passed(call)
+            assert "result" in await router.answer(1)
+            router.request(2)
+            assert "result" in await router.answer(2)
+            assert [id_ for id_, *_ in new.launched].count(f"{2:016x}") == 1
+            new.stop()
+
+    play(check)
+
+
+def test_a_command_given_while_the_agent_moves_is_carried_out_there() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router = await s.router()
+            new = await another_agent(s.agent)
+            s.rewrite(agent=f"127.0.0.1:{new.port}")
+            s.app.reload()
+            router.request(1)
+            assert "result" in await router.answer(1)
+            assert len(s.agent.launched) + len(new.launched) == 1
+            new.stop()
+
+    play(check)
+
+
+def test_a_call_that_was_sent_ends_at_the_old_ledger_and_the_next_goes_to_the_new_one() -> None:
+    async def check() -> None:
+        async with site() as s:
+            s.ledger.reply = None
+            router, call = await s.running_request()
+            s.agent.notice(f"request # {call}", b"call body")
+            await until(lambda: s.ledger.calls)
+            new = peers.Ledger()
+            await new.start()
+            s.rewrite(ledger=f"127.0.0.1:{new.port}")
+            s.app.reload()
+            for connection in s.app.ledger.open:
+                assert connection.call
+            s.ledger.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+            await until(lambda: s.agent.delivered)
+            assert s.agent.delivered == [(call, b"old")]
+            await until(lambda: s.ledger.closed)  # not kept for another call
+            router.request(2)
+            await until(lambda: len(s.agent.launched) == 2)
+            s.agent.notice(f"request # {2:016x}", b"second")
+            await until(lambda: len(s.agent.delivered) == 2)
+            assert [body for _, body in s.ledger.calls] == [b"call body"]
+            assert [body for _, body in new.calls] == [b"second"]
+
+    play(check)
+
+
+def test_a_call_that_was_not_sent_yet_goes_to_the_new_ledger() -> None:
+    async def check() -> None:
+        async with site() as s:
+            _, call = await s.running_request()
+            new = peers.Ledger()
+            await new.start()
+            sent = s.app.ledger._send
+            s.app.ledger._send = lambda connection: None  # type: ignore[method-assign]
+            s.agent.notice(f"request # {call}", b"call body")
+            await until(lambda: s.app.ledger.busy)
+            s.app.ledger._send = sent  # type: ignore[method-assign]
+            s.rewrite(ledger=f"127.0.0.1:{new.port}")
+            s.app.reload()
+            await until(lambda: s.agent.delivered)
+            assert len(new.calls) == 1
+            assert not s.ledger.calls
+
+    play(check)
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        (b"", "not JSON"),
+        (b'{"name":"n3"', "not JSON"),
+        (None, "cannot be read"),
+        (b'{"name":"n3"}', "settings"),
+    ],
+)
+def test_a_faulty_file_leaves_all_as_it_was_and_the_log_names_the_key(
+    text: bytes | None, key: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def check() -> None:
+        async with site() as s:
+            lines: list[tuple[str, dict[str, object]]] = []
+            monkeypatch.setattr(s.app.log, "event", lambda event, **more: lines.append((event, more)))
+            if text is None:
+                s.path.unlink()
+            else:
+                s.path.write_bytes(text)
+            before = s.app.config
+            s.app.reload()
+            assert s.app.config is before
+            assert [event for event, _ in lines] == ["reload_refused"]
+            assert key in str(lines[0][1]["error"])
+            router = await s.router()
+            router.request(1)
+            assert "result" in await router.answer(1)
+
+    play(check)
+
+
+def test_several_new_files_in_a_row_and_one_while_draining() -> None:
+    async def check() -> None:
+        async with site(stop_ms=1500) as s:
+            router, call = await s.running_request()
+            agents = [await another_agent(s.agent) for _ in range(3)]
+            for new in agents[:2]:
+                s.rewrite(agent=f"127.0.0.1:{new.port}")
+                s.app.reload()
+            await until(lambda: agents[1].subscribed)
+            s.app.notice()
+            await until(lambda: s.app.phase is Phase.DRAINING)
+            s.rewrite(agent=f"127.0.0.1:{agents[2].port}")
+            s.app.reload()
+            await until(lambda: agents[2].subscribed)
+            await until(lambda: s.app.agent.up and not s.app.agent.barrier)
+            agents[2].passed(call)
+            assert "result" in await router.answer(1)
+            assert len(router.of(1)) == 1
+            await until(s.running.done)
+            for new in agents:
+                new.stop()
+
+    play(check)
+
+
+def test_the_agent_moving_ends_the_pause_before_the_next_link() -> None:
+    async def check() -> None:
+        async with site(agent_up=False) as s:
+            waits: list[float] = []
+            s.app.agent._wait, real = lambda _: waits.append(1) or real(1000.0), s.app.agent._wait  # type: ignore
+            await until(lambda: waits)
+            new = peers.Agent()
+            await new.start()
+            s.rewrite(agent=f"127.0.0.1:{new.port}")
+            s.app.reload()
+            await until(lambda: s.app.agent.up)
+            new.stop()
+
+    play(check)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -91,7 +91,8 @@
             assert not router.ended
             s.agent.passed(call)
             await until(lambda: router.ended)
-            assert [message["id"] for message in router.got] == [1]
+            assert [message["id"] for message in router.got] == [None, 1]  # told at once
+            assert router.got[0]["error"]["code"] == jsonrpc.PARSE_ERROR
             assert not other.ended
 
     play(check)
@@ -563,15 +564,13 @@
             s.agent.notices.append(broken)
             s.agent.send(broken)
             pauses: list[float] = []
-            real = asyncio.sleep
 
             async def counted(seconds: float) -> None:
-                if seconds >= 0.01:
-                    pauses.append(seconds)
-                await real(0.001)
+                pauses.append(seconds)
+                await asyncio.sleep(0.001)
 
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr("shelfhaven.server.agent.asyncio.sleep", counted)
+                patch.setattr(s.app.agent, "_wait", counted)
                 await until(lambda: len(pauses) >= 8)
             assert pauses[1:8] == sorted(pauses[1:8])
             assert pauses[7] == RETRY_MOST
--- /dev/null
+++ b/tests/test_strangers.py
@@ -0,0 +1,82 @@
+"""Who breaks the routers' protocol or only takes room: told so or closed on, in nobody's way."""
+
+from __future__ import annotations
+
+import pytest
+
+from shelfhaven.server import routers
+from tests.peers import play, site, until
+
+
+def test_who_stays_silent_is_closed_on_and_who_asked_once_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(routers, "MESSAGE_WITHIN", 0.2)
+    monkeypatch.setattr(routers, "WATCH", 0.02)
+
+    async def check() -> None:
+        async with site() as s:
+            silent, holder = await s.router(), await s.router()
+            holder.request(1)
+            await holder.answer(1)
+            await until(lambda: silent.ended)
+            assert not holder.ended
+
+    play(check)
+
+
+def test_who_stalls_in_a_message_is_closed_on_after_what_is_owed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(routers, "MESSAGE_WITHIN", 0.2)
+    monkeypatch.setattr(routers, "WATCH", 0.02)
+
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            router.writer.write(b"Content-Length: 500\r\n\r\n{")
+            await until(lambda: router.got)
+            assert router.got[0]["id"] is None
+            assert not router.ended
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
+            await until(lambda: router.ended)
+
+    play(check)
+
+
+def test_when_all_connections_are_taken_those_that_nobody_uses_make_room() -> None:
+    async def check() -> None:
+        async with site(limits={"sockets": 40}) as s:
+            s.agent.on_launch = s.agent.hold
+            busy = await s.router()
+            call = busy.request(1)
+            holders = [await s.router() for _ in range(19)]  # with the busy one these are all
+            for n, holder in enumerate(holders[:10]):
+                holder.request(1, "unheard-of", call=f"{n + 100:016x}")
+                await holder.answer(1)
+            await until(lambda: len(s.app.listener.connections) == 20)
+            late = await s.router()
+            late.send({"jsonrpc": "2.0", "id": 2, "method": "alive"})
+            assert (await late.answer(2))["result"]["green"] is True
+            assert not any(holder.ended for holder in holders[:10])  # who never asked goes first
+            assert any(holder.ended for holder in holders[10:])
+            s.agent.passed(call)
+            assert "result" in await busy.answer(1)
+
+    play(check)
+
+
+def test_a_connection_with_something_unread_or_open_is_never_closed_to_make_room() -> None:
+    async def check() -> None:
+        async with site(limits={"sockets": 16}) as s:
+            s.agent.on_launch = s.agent.hold
+            takers = [await s.router() for _ in range(3)]
+            calls = [taker.request(1, call=f"{n + 100:016x}") for n, taker in enumerate(takers)]
+            await until(lambda: len(s.agent.launched) == 3)
+            late = await s.router()
+            late.send({"jsonrpc": "2.0", "id": 2, "method": "alive"})
+            await until(lambda: not s.app.listener.accepting)
+            for call in calls:
+                s.agent.passed(call)
+            for taker in takers:
+                assert "result" in await taker.answer(1)
+            assert "result" in await late.answer(2)
+
+    play(check)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -291,7 +291,12 @@
         router = peers.Router(*await asyncio.open_connection("127.0.0.1", port))
         router.request(1)
         assert "result" in await router.answer(1)
+        moved = peers.Members()
+        path.write_bytes(orjson.dumps(data | {"members": f"127.0.0.1:{moved.port}"}))
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: b"HB n3 UP" in moved.reports())
         process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)  # while draining too
         _, errors = await process.communicate()
         assert process.returncode == 0
         lines = [orjson.loads(line) for line in errors.splitlines()]
