Each call has a connection of its own; a refused launch is always answered

A launch refused on a second link was never told to the core (agent.py), so its core stayed taken for good. A greeting read late was taken for a new agent. Two different lengths in one reply are noise.

--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -22,25 +22,22 @@
 
     status: int
     untouched: bool
-    keep: bool  # the connection may carry another call
     body: bytes
 
 
 class Cutter:
-    """Cuts one connection's bytes into replies."""
+    """Cuts the one reply out of a connection's bytes; what comes after it is nobody's."""
 
     def __init__(self) -> None:
         self.unread = bytearray()
-        self.head: tuple[int, dict[bytes, bytes], bool] | None = None
+        self.head: tuple[int, dict[bytes, bytes]] | None = None
 
-    def feed(self, data: bytes) -> list[Reply]:
-        """The replies that are complete with this data; an interim one (1xx) is passed over."""
+    def feed(self, data: bytes) -> Reply | None:
+        """The reply, if it is complete with this data; interim ones (1xx) are passed over."""
         self.unread += data
-        replies = []
-        while (reply := self._next()) is not None:
-            if reply.status >= 200:
-                replies.append(reply)
-        return replies
+        while (reply := self._next()) is not None and reply.status < 200:
+            pass
+        return reply
 
     def _next(self) -> Reply | None:
         if self.head is None:
@@ -51,31 +48,32 @@
                 return None
             self.head = _head(bytes(self.unread[:end]))
             del self.unread[: end + 4]
-        status, fields, keep = self.head
+        status, fields = self.head
         length = _length(status, fields)
         if len(self.unread) < length:
             return None
         body = bytes(self.unread[:length])
         del self.unread[:length]
         self.head = None
-        return Reply(status, fields.get(b"x-untouched") == b"1", keep, body)
+        return Reply(status, fields.get(b"x-untouched") == b"1", body)
 
 
-def _head(head: bytes) -> tuple[int, dict[bytes, bytes], bool]:
+def _head(head: bytes) -> tuple[int, dict[bytes, bytes]]:
     first, *lines = head.split(b"\r\n")
     version, _, rest = first.partition(b" ")
     digits = rest[:3]
     if not version.startswith(b"HTTP/1.") or len(digits) != 3 or not digits.isdigit():
         raise StreamError("no status line")
-    fields = {}
+    fields: dict[bytes, bytes] = {}
     for line in lines:
         name, colon, value = line.partition(b":")
         if not colon:
             raise StreamError("a header line without a colon")
-        fields[name.strip().lower()] = value.strip()
-    connection = fields.get(b"connection", b"").lower()
-    keep = connection != b"close" and (version != b"HTTP/1.0" or connection == b"keep-alive")
-    return int(digits), fields, keep
+        name, value = name.strip().lower(), value.strip()
+        if name == b"content-length" and fields.get(name, value) != value:
+            raise StreamError("two lengths")
+        fields[name] = value
+    return int(digits), fields
 
 
 def _length(status: int, fields: dict[bytes, bytes]) -> int:
--- a/shelfhaven/server/agent.py
+++ b/shelfhaven/server/agent.py
@@ -52,6 +52,7 @@
         self.links = self.ups = 0  # connected, and carried commands
         self.barrier = ""  # tag of the sample that closes what a new link replays
         self.up = False
+        self.asked = 0.0  # when this link was opened
         self.met = math.inf  # when the agent that is known here first greeted
         self.ended = False
         self.sooner = asyncio.Event()  # the pause before the next link is over
@@ -127,6 +128,7 @@
         await stream.connect((self.address.host, self.address.port))
         stream.set_nodelay(True)
         self.links += 1
+        self.asked = time.monotonic()
         await stream.write(wire.subscribe(self.last))
         cutter = wire.Cutter()
         while True:
@@ -161,7 +163,8 @@
     def _greeted(self, greeting: wire.Greeting) -> None:
         """The agent is up; the sample is answered after all that it replays."""
         now = time.monotonic()
-        if now - greeting.ms / 1000 > self.met + RESTART_MARGIN:  # started after it was met: another one
+        # counted from when it was asked, not from when the answer is read: a late loop is no new agent
+        if self.asked - greeting.ms / 1000 > self.met + RESTART_MARGIN:  # started after it was met
             self.fate.clear()
             self.last = 0  # it counts anew
             self.tell(m.AgentRestarted())
@@ -182,7 +185,9 @@
         self._flush()
 
     def _refused(self, refusal: wire.Refusal) -> None:
-        """One refused when sent again was carried out the first time; what it led to is still to come."""
+        """A launch that is refused never ran: one that ran would be known. Any other command that is refused
+        when sent again was carried out the first time, and what it led to is still to come.
+        """
         pending = self._heard_of(refusal.id)
-        if pending and pending.links < 2:
+        if pending and (pending.links < 2 or isinstance(pending.command, wire.Launch)):
             self.tell(refusal)
--- a/shelfhaven/server/members.py
+++ b/shelfhaven/server/members.py
@@ -15,7 +15,7 @@
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
 
-EVERY = 0.5  # seconds; a server is taken off the list after 3, so five in a row may be lost
+EVERY = 0.25  # seconds; a server is taken off the list after 3, so eleven reports in a row may be lost
 
 
 class Members:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -184,14 +184,14 @@
 @given(st.lists(st.binary(max_size=60), max_size=8))
 def test_any_bytes_break_a_cutter_in_one_way_only(chunks: list[bytes]) -> None:
     rpc, lines, web = jsonrpc.Cutter(), agent.Cutter(), http.Cutter()
-    for feed, error in (
-        (rpc.feed, jsonrpc.StreamError),
-        (lines.feed, agent.StreamError),
-        (web.feed, http.StreamError),
-    ):
+    for feed, error in ((rpc.feed, jsonrpc.StreamError), (lines.feed, agent.StreamError)):
         with contextlib.suppress(error):
             for chunk in chunks:
                 assert None not in feed(chunk)
+    with contextlib.suppress(http.StreamError):
+        for chunk in chunks:
+            reply = web.feed(chunk)
+            assert reply is None or reply.status >= 200
 
 
 @given(
@@ -279,19 +279,23 @@
 
 # Ledger
 
-REPLIES = (
-    b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab\r\n\r\n"
-    b"HTTP/1.1 100 Continue\r\n\r\n"
-    b"HTTP/1.1 503 Busy\r\nx-untouched:1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
+GOOD = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab\r\n\r\n"
+TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nx-untouched:1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-def test_replies_split_at_every_byte_are_cut_the_same() -> None:
-    whole = http.Cutter().feed(REPLIES)
-    assert whole == [http.Reply(200, False, True, b"ab\r\n\r\n"), http.Reply(503, True, False, b"")]
-    for cut in range(len(REPLIES) + 1):
+@pytest.mark.parametrize(
+    ("data", "reply"),
+    [(GOOD, http.Reply(200, False, b"ab\r\n\r\n")), (TURNED_AWAY, http.Reply(503, True, b""))],
+)
+@pytest.mark.parametrize("more", [b"", GOOD, b"noise\r\n\r\n"])
+def test_a_reply_split_at_every_byte_is_cut_the_same_whatever_follows(
+    data: bytes, reply: http.Reply, more: bytes
+) -> None:
+    for cut in range(len(data) + 1):
         cutter = http.Cutter()
-        assert [r for piece in pieces(REPLIES, cut) for r in cutter.feed(piece)] == whole
+        first, second = pieces(data, cut) if 0 < cut < len(data) else (data, b"")
+        got = cutter.feed(first + more) if not second else cutter.feed(first) or cutter.feed(second + more)
+        assert got == reply
 
 
 @pytest.mark.parametrize(
@@ -304,6 +308,9 @@
         b"HTTP/1.1 200 OK\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc",
         b"x" * 10_000,
     ],
 )
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -94,10 +94,10 @@
             new = peers.Ledger()
             await new.start()
             sent = s.app.ledger._send
-            s.app.ledger._send = lambda connection: None  # type: ignore[method-assign]
+            s.app.ledger._send = lambda *_: None  # type: ignore
             s.agent.notice(f"request # {call}", b"call body")
             await until(lambda: s.app.ledger.busy)
-            s.app.ledger._send = sent  # type: ignore[method-assign]
+            s.app.ledger._send = sent  # type: ignore
             s.rewrite(ledger=f"127.0.0.1:{new.port}")
             s.app.reload()
             await until(lambda: s.agent.delivered)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,12 +7,14 @@
 import logging
 import os
 import signal
+import time
 
 import orjson
 import pytest
 
+from shelfhaven.protocol import agent as wire
 from shelfhaven.protocol import jsonrpc
-from shelfhaven.server.agent import RETRY_MOST
+from shelfhaven.server.agent import RESTART_MARGIN, RETRY_MOST
 from shelfhaven.server.app import NEXT, App, Phase
 from shelfhaven.server.log import FromLibraries, Log
 from tests.peers import NULL, Site, play, site, until
@@ -211,7 +213,7 @@
     play(check)
 
 
-def test_a_command_refused_on_its_first_link_fails_its_run_one_sent_again_does_not() -> None:
+def test_a_launch_that_is_refused_is_answered_on_whatever_link_it_went_out() -> None:
     async def check() -> None:
         async with site() as s:
             router, first = await s.running_request()
@@ -222,10 +224,54 @@
             s.agent.on_launch = lambda id_: s.agent.send(f"refusal launch {id_}\r\n".encode())
             await s.agent.start()
             assert "error" in await router.answer(2)
+            assert "error" in await router.answer(1)
             assert [call for call, _, _ in s.agent.launched] == [first, first, second]
-            s.agent.passed(first)
-            assert "result" in await router.answer(1)
             assert not s.app.agent.fate
+            assert not s.app.core.requests
+
+    play(check)
+
+
+def test_a_reply_that_is_refused_when_sent_again_was_taken_the_first_time() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            s.agent.passed, passed = lambda _: None, s.agent.passed  # type: ignore
+            s.agent.notice(f"request # {call}", b"ask")
+            await until(lambda: s.agent.delivered)
+            command = s.agent._command
+            s.agent._command = lambda words, body: (  # type: ignore
+                s.agent.send(f"refusal deliver {call}\r\n".encode())
+                if words[0] == "deliver"
+                else command(words, body)
+            )
+            s.agent.cut()
+            await until(lambda: s.app.agent.ups == 2 and not s.app.agent.fate)
+            assert not router.got
+            passed(call)
+            assert "result" in await router.answer(1)
+
+    play(check)
+
+
+def test_a_greeting_that_is_read_late_is_no_new_agent(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            s.agent.born = time.monotonic() - 0.001  # it was met when it had just started
+            s.app.agent.met = time.monotonic()
+            greeted = s.app.agent._greeted
+
+            def late(greeting: wire.Greeting) -> None:
+                time.sleep(RESTART_MARGIN + 0.2)  # the machine stood still before it was read
+                greeted(greeting)
+
+            monkeypatch.setattr(s.app.agent, "_greeted", late)
+            s.agent.cut()
+            await until(lambda: s.app.agent.ups == 2)
+            assert not router.got
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
 
     play(check)
 
@@ -307,7 +353,7 @@
     agent.on_launch = lambda id_: agent.notice(f"request # {id_}", b"call of " + id_.encode())
 
 
-def test_a_call_goes_to_the_ledger_and_its_connection_is_kept() -> None:
+def test_each_call_goes_to_the_ledger_on_a_connection_of_its_own() -> None:
     async def check() -> None:
         async with site() as s:
             wants_call(s)
@@ -317,7 +363,8 @@
                 assert "result" in await router.answer(n)
                 assert s.ledger.calls[-1] == (call, b"call of " + call.encode())
                 assert s.agent.delivered[-1] == (call, b"done")
-            assert s.ledger.connections == 1
+            assert s.ledger.connections == 2
+            assert not s.app.ledger.descriptors.calls
 
     play(check)
 
@@ -388,12 +435,15 @@
             s.app.ledger.descriptors.room = 5
             s.app.ledger.descriptors.calls_least = 2
             wants_call(s)
+            most: list[int] = []
+            s.ledger.after_reply = lambda: most.append(len(s.app.ledger.open))
             router = await s.router()
             for n in range(1, 7):
                 router.request(n)
             for n in range(1, 7):
                 assert "result" in await router.answer(n)
-            assert s.ledger.connections <= 2
+            assert s.ledger.connections == 6
+            assert max(most) <= 2
 
     play(check)
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -141,18 +141,28 @@
     play(check)
 
 
-def test_a_kept_connection_unused_for_long_is_not_trusted() -> None:
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood" * 2,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodnoise\r\n",
+    ],
+)
+def test_what_comes_with_a_good_reply_reaches_no_other_call(reply: bytes) -> None:
     async def check() -> None:
         async with site() as s:
             agent = s.agent
             agent.on_launch = lambda id_: agent.notice(f"request # {id_}", b"ask")
             router = await s.router()
+            s.ledger.reply = reply
             router.request(1)
-            await router.answer(1)
-            for connection in s.app.ledger.idle:
-                connection.used -= 5.0
+            assert "result" in await router.answer(1)
+            await until(lambda: s.ledger.closed)
+            s.ledger.reply = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
             router.request(2)
             assert "result" in await router.answer(2)
+            assert [body for _, body in agent.delivered] == [b"good", b"other"]
             assert s.ledger.connections == 2
 
     play(check)
