--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -82,8 +82,8 @@
     """One request that was read here."""
 
     __slots__ = (
-        "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id", "ran",
-        "read_at", "state", "stopping", "waiters",
+        "again", "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id",
+        "ran", "read_at", "state", "stopping", "waiters",
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
@@ -94,7 +94,7 @@
         self.state = State.DONE  # until it is taken in
         self.answered = self.stopping = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
-        self.waiters, self.began = 0, math.inf
+        self.waiters, self.began, self.again = 0, math.inf, False  # again: its call was placed twice
 
 
 class CallerList:
@@ -149,10 +149,8 @@
     """Decides what one server takes, runs and turns away."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        if settings.cores < 1 or settings.memory_kb <= 0:
-            raise ValueError("settings: a server needs at least one core and some memory")
-        if not settings.classes:
-            raise ValueError("settings: no classes of request")
+        if settings.cores < 1 or settings.memory_kb <= 0 or not settings.classes:
+            raise ValueError("settings: a server needs at least one core, some memory and classes of request")
         self.settings = s = settings
         self.margin = MARGIN_TICKS * s.tick  # answers go out this long before they are due
         self.out: list[i.Action] = []
@@ -163,8 +161,7 @@
         self.kept_ends: list[tuple[float, int]] = []
         self.dropped: dict[int, float] = {}  # keyed requests turned away unrun, until their window ends
         self.mean_run = [c.aim * 0.25 for c in s.classes]
-        self.mean_hint = [0.0 for _ in s.classes]  # of the runs in mean_run that carried a hint
-        self.hinted_run = [0.0 for _ in s.classes]
+        self.mean_hint, self.hinted_run = [0.0] * len(s.classes), [0.0] * len(s.classes)  # of runs with hints
         self.count = [0] * (State.DONE + 1)  # requests in each state
         self.memory = 0.0
         self.cap, self.share, self.debt, self.error = float(s.cores), 1.0, 0.0, 0.0
@@ -174,10 +171,9 @@
         self.progress_at = self.started_at = self.full_since = 0.0
         self.stalled = self.sick = False
         self.lag, self.tight = 0.0, min(c.aim for c in s.classes)  # mean time unread; shortest aim
-        self.published = -1.0
         self.closing, self.idle = False, 0.0  # idle connections are closed at once; idle part of the cores
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
-        self.judged_at = -math.inf
+        self.published, self.judged_at = -1.0, -math.inf
         self.call_load = self.call_mean = self.call_dev = 0.0
         self.failing = self.called_at = 0.0  # recent part of calls refused below; when the last one ended
         self.drain_at = self.stop_at = math.inf
@@ -240,9 +236,8 @@
 
     def _must_refuse(self, now: float, request: Request) -> bool:
         """What no admission share can let in: no time, no room, leaving, or standing still."""
-        s = self.settings
-        full = self.memory + s.key_kb > MEMORY_PART * s.memory_kb
-        late = request.due <= now or request.arrived > self.drain_at + s.drain_grace
+        full = self.memory + self.settings.key_kb > MEMORY_PART * self.settings.memory_kb
+        late = request.due <= now or request.arrived > self.drain_at + self.settings.drain_grace
         return late or full or self.stalled or (self.sick and now + self._expected(request) > request.aim_at)
 
     def _shed(self, caller: Caller) -> bool:
@@ -583,8 +578,13 @@
             self._call_failed(now, request, event.outcome)
 
     def _call_failed(self, now: float, request: Request, outcome: i.Outcome) -> None:
-        """Leave the call out where that keeps worth; repeat only what is known not to have run."""
-        if self.settings.classes[request.cls].skip_worth > 0:
+        """Place a lost call that may run twice again, once; leave others out, or repeat what never ran."""
+        cls = self.settings.classes[request.cls]
+        lost = outcome is i.Outcome.RESET and cls.repeat is i.Repeat.SAFE and not request.again
+        if lost and now + self.call_mean + REST_PART * self.mean_run[request.cls] < request.aim_at:
+            request.again = True
+            self._place(now, request)
+        elif cls.skip_worth > 0:
             self._skip(request)
         elif outcome in i.NEVER_RAN and request.due - now > 2 * CALL_BACKOFF:
             self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -34,6 +34,7 @@
 ANSWERED_PART = 0.4  # of that time is left when the module has answered all, so that answers get out
 CROSSING = 0.1  # seconds after `shutdown` in which a request may still cross it
 PEERS = ("agent", "ledger", "members")  # whose addresses a new configuration file changes
+LOOK = 1.0  # seconds between lines on the load
 WATCH = 0.02  # seconds between looks at what is still open while closing
 
 
@@ -71,6 +72,7 @@
         self.core.connect(self.agent, self.ledger, self.members, self.listener)
         self.leave = asyncio.Event()
         self.stop_at = self.closing = 0.0
+        self.look: asyncio.TimerHandle | None = None
 
     def _enter(self, phase: Phase) -> None:
         if phase not in NEXT[self.phase]:
@@ -93,9 +95,12 @@
         link = loop.create_task(self.agent.run())
         gc.freeze()  # what the start made stays; collections need not walk it
         self._enter(Phase.SERVING)
+        self._look(loop.time())
         await self.leave.wait()
         await self._drain()
         await self._close()
+        if self.look:
+            self.look.cancel()
         self.agent.end()
         self.ledger.end()
         self.members.end()
@@ -104,6 +109,14 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # the loop's end gives its handler back
         self._enter(Phase.ENDED)
 
+    def _look(self, due: float) -> None:
+        """Log what this server believes of its load, and how late the loop is."""
+        loop = asyncio.get_running_loop()
+        late = loop.time() - due
+        here = {"late_ms": round(late * 1000, 1), "connections": len(self.listener.connections)}
+        self.log.event("load", **here, calls=len(self.ledger.open), **self.core.load_now())
+        self.look = loop.call_at(loop.time() + LOOK, self._look, loop.time() + LOOK)
+
     def _unhandled(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What no actor caught is logged; the loop goes on."""
         error = context.get("exception")
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -14,11 +14,11 @@
 import itertools
 import time
 import traceback
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import Protocol, TypeAlias, TypeVar
+from typing import Any, Protocol, TypeAlias, TypeVar
 
 from shelfhaven.config import Config
 from shelfhaven.decision import interface as i
@@ -177,6 +177,7 @@
         self.good = True
         self.load: float | None = None
         self.now = clock()
+        self.answers: Counter[str] = Counter()  # by kind, since the last look
 
     def connect(
         self, agent: AgentActor, ledger: LedgerActor, members: MembersActor, fronts: FrontsActor
@@ -188,6 +189,14 @@
         """Take a message."""
         self.mailbox.put(message)
 
+    def load_now(self) -> dict[str, Any]:
+        """What the books and the module hold to be true, and the answers since the last look; for the log."""
+        stages = Counter(request.stage.value for request in self.requests.values())
+        answers, self.answers = self.answers, Counter()
+        module = self.controller
+        believed = {key: round(getattr(module, key), 3) for key in ("share", "wait", "cap", "lag", "warmth")}
+        return dict(stages) | answers | believed | {"keys": len(self.table), "results": len(self.results)}
+
     # Messages to events
 
     def _take(self, message: Message) -> None:
@@ -459,6 +468,7 @@
         """The one place where an answer leaves: only while it is owed, so never twice."""
         if request.owed is Owed.OWED:
             request.owed = Owed.GIVEN
+            self.answers[type(answer).__name__.lower()] += 1
             del self.by_ref[id(request.submit.front), request.submit.ref]
             request.submit.front.answer(answer)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -521,6 +522,8 @@
         if job.state == "running":
             world.need_call(job)
             world.end_call(job, outcome)
+            if job.state == "calling":  # lost on the way, and placed again
+                world.end_call(job, outcome)
             if outcome is i.Outcome.OK:
                 world.finish(job)
             elif job.state == "call_wait":
@@ -542,6 +545,31 @@
     assert world.controller.share == 1.0
 
 
+def test_a_call_lost_on_the_way_is_placed_again_once_where_it_may_run_twice() -> None:
+    world = World(settings(below=i.Below.TIER, classes=CALLS))
+    job = world.arrive(0, 1)
+    world.need_call(job)
+    world.end_call(job, i.Outcome.RESET)
+    assert job.state == "calling"
+    world.end_call(job, i.Outcome.RESET)
+    assert job.state == "running"  # left out
+    late = world.arrive(0, 1)
+    world.need_call(late)
+    world.now += 0.95  # another would come back after the aim of one second
+    world.end_call(late, i.Outcome.RESET)
+    assert late.state == "running"
+    assert sum(isinstance(a, i.Call) for a in world.log) == 3
+
+
+def test_a_lost_call_that_must_not_run_twice_is_not_placed_again() -> None:
+    keyed = replace(CALLS[0], repeat=i.Repeat.KEYED, window=2.0)
+    world = World(settings(below=i.Below.TIER, classes=(keyed,)))
+    job = world.arrive(0, 1)
+    world.need_call(job)
+    world.end_call(job, i.Outcome.RESET)
+    assert sum(isinstance(a, i.Call) for a in world.log) == 1
+
+
 def test_a_call_that_never_comes_back_is_left_out_in_time_for_the_aim() -> None:
     world = World(settings(below=i.Below.TIER, classes=CALLS))
     job = world.arrive(0, 1)
