A leaving server keeps its window for the grace if the others have no room for its part

Ruled out by a line a second on what servers believe: overload, a late loop, CPU, a router without servers.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -176,7 +176,7 @@
         self.published, self.judged_at = -1.0, -math.inf
         self.call_load = self.call_mean = self.call_dev = 0.0
         self.failing = self.called_at = 0.0  # recent part of calls refused below; when the last one ended
-        self.drain_at = self.stop_at = math.inf
+        self.drain_at = self.stop_at = self.shut_at = math.inf
 
     def on_event(self, now: float, event: i.Event) -> list[i.Action]:
         """Take one event and return the actions it calls for."""
@@ -300,7 +300,7 @@
         self._close_idle()
         calls = self.count[State.CALLING] - self.call_load
         self.call_load += calls * min(1.0, PERIOD / (self.settings.calls_over or 1.0))
-        self._publish()
+        self._publish(now)
 
     def _adjust_share(self, now: float) -> None:
         """PI loop: hold waits, as parts of their aims, set the admitted share."""
@@ -379,7 +379,7 @@
             self.sick = sick
             self.out.append(i.Health(not sick and self.drain_at == math.inf))
 
-    def _publish(self) -> None:
+    def _publish(self, now: float) -> None:
         """What callers may send.  With cores to spare the window is what the heaviest caller needs, as
         light ones never fill theirs; as the cores fill up it closes to an even split."""
         s, value = self.settings, self.share
@@ -389,9 +389,8 @@
             spare = min(1.0, self.idle / SPARE)
             part = even + max(0.0, self.callers.top - even) * spare
             value = self.share * ((self.cap + self._at_calls() + waiting) * part + spare)
-        value = 0.0 if self.drain_at < math.inf else 0.1 if self.sick else value
-        if s.advert is i.Advert.LEVEL:
-            value = 1 - (0.0 if self.sick else value)
+        value = 0.0 if now >= self.shut_at else 0.1 if self.sick else value
+        value = 1 - value * (not self.sick) if s.advert is i.Advert.LEVEL else value
         if s.advert is not i.Advert.NONE and abs(value - self.published) > 0.05 * abs(self.published):
             self.published = value
             self.out.append(i.Publish(value))
@@ -614,8 +613,7 @@
             self._drop_key(request.id)
         cls = self.settings.classes[request.cls]
         if not request.ran and cls.repeat is i.Repeat.KEYED:
-            end = request.read_at + cls.window
-            self.dropped[request.id] = end
+            end = self.dropped[request.id] = request.read_at + cls.window
             heapq.heappush(self.kept_ends, (end, request.id))
         request.answered = True
         self.hold.pop(request.id, None)
@@ -635,6 +633,8 @@
     def _drain(self, now: float, left: float) -> None:
         """Leave: run nothing that comes after the grace and answer everything before the stop."""
         self.drain_at, self.stop_at = now, now + _sane(left)
+        full = self.idle * self.settings.servers < 1 + SPARE  # others, as busy, have no room for its part
+        self.shut_at = now + self.settings.drain_grace * full  # and callers learn late who is new
         for request in list(self.requests.values()):
             request.due = min(request.due, self.stop_at - self.margin)
             request.aim_at = min(request.aim_at, request.due)
@@ -643,4 +643,4 @@
             else:
                 self.out.append(i.SetTimer(request.due - now, request.id))
         self.out.append(i.Health(False))
-        self._publish()
+        self._publish(now)
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -194,7 +194,10 @@
         stages = Counter(request.stage.value for request in self.requests.values())
         answers, self.answers = self.answers, Counter()
         module = self.controller
-        believed = {key: round(getattr(module, key), 3) for key in ("share", "wait", "cap", "lag", "warmth")}
+        names = ("share", "wait", "cap", "lag", "warmth", "idle")
+        believed = {name: round(getattr(module, name), 3) for name in names}
+        callers = module.callers
+        believed |= {"callers": len(callers.entries), "top": round(callers.top, 3), "published": self.load}
         return dict(stages) | answers | believed | {"keys": len(self.table), "results": len(self.results)}
 
     # Messages to events
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -622,3 +622,20 @@
         world.finish(job, outcome)  # its caller left without a word
         assert sum(isinstance(a, i.Fail) and a.id == job.id for a in world.log) == 1
         assert (other.state, waiting.state) == ("running", "running")
+
+
+def test_a_draining_server_shuts_its_window_at_once_only_if_the_others_have_room_for_its_part() -> None:
+    def published(busy: float, servers: int) -> list[float]:
+        world = World(settings(advert=i.Advert.WINDOW, servers=servers))
+        world.advance(1.0, cpu=busy)
+        shown = [a.value for a in world.log if isinstance(a, i.Publish)]
+        world.drain(3.0)
+        world.advance(0.5, cpu=busy)
+        after = [a.value for a in world.log if isinstance(a, i.Publish)][len(shown) :]
+        world.advance(1.0, cpu=busy)  # past the grace of one second
+        assert [a.value for a in world.log if isinstance(a, i.Publish)][-1] == 0.0
+        return after
+
+    assert 0.0 in published(busy=0.2, servers=2)
+    assert 0.0 in published(busy=0.6, servers=8)
+    assert 0.0 not in published(busy=0.6, servers=2)  # one of two: half of the work has nowhere to go
