--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -221,7 +221,7 @@
             self.callers.charge(caller)
             self._hold(now, request, keyed)
         if request.state != State.DONE:
-            self.out.append(i.SetTimer(max(0.0, request.due - now), request.id))
+            self.out.append(i.SetTimer(max(0.0, request.due - now), request.id, request.id))
 
     def _new_request(self, now: float, event: i.Arrival, caller: Caller) -> Request:
         cls = self.settings.classes[event.cls]
@@ -538,7 +538,7 @@
             self._move(request, State.CALLING)
             self.out.append(i.Call(request.id, min(left, self._patience(now, request))))
         else:
-            self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
+            self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id, request.id))
 
     def _call_room(self) -> bool:
         """A shared dependency falls by the mean of calls in its hands; a tier below guards itself."""
@@ -586,7 +586,7 @@
         elif cls.skip_worth > 0:
             self._skip(request)
         elif outcome in i.NEVER_RAN and request.due - now > 2 * CALL_BACKOFF:
-            self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id))
+            self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id, request.id))
         else:
             self._give_up(now, request)
 
@@ -641,6 +641,6 @@
             if request.due <= now:
                 self._give_up(now, request)
             else:
-                self.out.append(i.SetTimer(request.due - now, request.id))
+                self.out.append(i.SetTimer(request.due - now, request.id, request.id))
         self.out.append(i.Health(False))
         self._publish(now)
--- a/shelfhaven/decision/interface.py
+++ b/shelfhaven/decision/interface.py
@@ -275,10 +275,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a Timer event."""
+    """Ask for a Timer event; `id` is the request it is for (0: none): once that is over it need not come."""
 
     delay: float
     token: int
+    id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -166,7 +166,7 @@
         self.result_bytes = 0
         self.result_room = int(config.limits.memory_mb * RESULTS_PART * (1 << 20))
         self.events: deque[i.Event] = deque()  # told to the module after the actions in hand
-        self.timers: list[tuple[float, int, int]] = []  # due, order, token
+        self.timers: list[tuple[float, int, int, int]] = []  # due, order, token, request that it is for
         self.order = itertools.count()
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = float("inf")
@@ -422,7 +422,7 @@
     def _act(self, action: i.Action) -> None:
         match action:
             case i.SetTimer():
-                self._set_timer(action.token, action.delay)
+                self._set_timer(action.token, action.delay, action.id)
             case i.Health():
                 self.good = action.good
                 up = not self.draining and (self.good or not self.config.settings.readiness)
@@ -560,10 +560,12 @@
 
     # Timers: what lies in the sockets is read before a timer is told, and gauges come fresh
 
-    def _set_timer(self, token: int, delay: float) -> None:
-        heapq.heappush(self.timers, (self.now + delay, next(self.order), token))
+    def _set_timer(self, token: int, delay: float, id_: int = 0) -> None:
+        heapq.heappush(self.timers, (self.now + delay, next(self.order), token, id_))
 
     def _set_alarm(self) -> None:
+        while self.timers and (id_ := self.timers[0][3]) and id_ not in self.requests:
+            heapq.heappop(self.timers)  # most requests are over long before they are due
         if not self.timers or self.sampling:
             return
         due = self.timers[0][0]
@@ -602,5 +604,6 @@
         self.sampling = ""
         now = max(self.now, self.clock())
         while self.timers and self.timers[0][0] <= now:
-            token = heapq.heappop(self.timers)[2]
-            self.events.append(i.Timer(token, self.gauges))
+            _, _, token, id_ = heapq.heappop(self.timers)
+            if not id_ or id_ in self.requests:
+                self.events.append(i.Timer(token, self.gauges))
--- a/shelfhaven/server/descriptors.py
+++ b/shelfhaven/server/descriptors.py
@@ -23,6 +23,7 @@
         self.routers = self.calls = 0
         self.wanted = False  # a router waits for a descriptor that a call holds
         self.on_free: list[Callable[[], None]] = []
+        self.on_wanted: list[Callable[[], None]] = []
 
     def take_router(self) -> bool:
         """Count one more router's connection, if there is room."""
@@ -30,6 +31,8 @@
             return False
         self.wanted = self.routers + self.calls >= self.room
         if self.wanted:
+            for told in self.on_wanted:
+                told()
             return False
         self.routers += 1
         return True
