--- a/shelfhaven/protocol/jsonrpc.py
+++ b/shelfhaven/protocol/jsonrpc.py
@@ -8,7 +8,6 @@
 
 import base64
 import binascii
-import math
 import re
 from dataclasses import dataclass
 from typing import Any, TypeAlias, TypeGuard
@@ -19,12 +18,13 @@
 MAX_MESSAGE = 16 * 1024  # bytes; a body of 2 KiB in base64 beside a dozen short fields
 MAX_BODY = 2048  # bytes
 MAX_NAME = 256  # characters of a name or key
+HEAP_BELOW = 2000  # KB, by the protocol
 MAX_ID = 1 << 53  # a number beyond is not exact in JSON
 CALL = re.compile(r"[0-9a-f]{16}\Z")
 ROW = re.compile(r"[0-9a-f]{1,16}\Z")
 
 PARSE_ERROR, INVALID_REQUEST, NO_METHOD, INVALID_PARAMS = -32700, -32600, -32601, -32602
-REFUSED, FAILED = -32000, -32001
+REFUSED, FAILED, CANCELLED = -32000, -32001, -32800
 
 
 class StreamError(Exception):
@@ -128,10 +128,10 @@
     return type(value) is int and 0 < value < MAX_ID
 
 
-def decode(body: bytes) -> Message | None:
-    """The typed value of one message; None for a notification that means nothing here.
+def decode(body: bytes) -> Message:
+    """The typed value of one message.
 
-    Raises StreamError where not even an id can be read: nothing sensible can be answered then.
+    Raises StreamError where not even an id can be read: no answer could be told from another then.
     """
     try:
         message = orjson.loads(body)
@@ -142,10 +142,8 @@
     method, id_, params = message.get("method"), message.get("id"), message.get("params")
     if method == "cancelRequest" and isinstance(params, dict) and _is_id(params.get("id")):
         return Cancel(params["id"])
-    if "id" not in message:
-        return None
     if not _is_id(id_):
-        raise StreamError("a message whose id is no number from 1 up")
+        raise StreamError("a message without an id that is a number from 1 up")
     if message.get("jsonrpc") != "2.0" or not isinstance(method, str) or not method:
         return Invalid(id_, INVALID_REQUEST, "not a request of JSON-RPC 2.0")
     if method == "alive":
@@ -170,12 +168,12 @@
         call=call,
         cls=method,
         recv=_number(params, "recv", needed=True),
-        src=int(_number(params, "src", needed=True)),
+        src=_whole(params, "src"),
         org=_text(params, "org"),
         rep=params.get("rep") in (1, "1", True),
         work=_number(params, "work"),
-        heap=_number(params, "heap", needed=True),
-        crit=_number(params, "crit"),
+        heap=_heap(params),
+        crit=_number(params, "crit", below=1),
         dedupe=_text(params, "dedupe"),
         row=int(row, 16) if row else 0,
         ttl=_number(params, "ttl"),
@@ -183,20 +181,29 @@
     )
 
 
-def _number(params: dict[str, Any], name: str, needed: bool = False) -> float:
+def _number(params: dict[str, Any], name: str, needed: bool = False, below: float = MAX_ID) -> float:
     value = params.get(name)
     if value is None and not needed:
         return 0.0
-    if (
-        not isinstance(value, int | float)
-        or isinstance(value, bool)
-        or not math.isfinite(value)
-        or not 0 <= value < MAX_ID
-    ):
-        raise _BadParam(f"{name}: not a number of 0 or more")
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value < below:
+        raise _BadParam(f"{name}: not a number from 0 to under {below}")
     return float(value)
 
 
+def _heap(params: dict[str, Any]) -> float:
+    value = _number(params, "heap", needed=True, below=HEAP_BELOW)
+    if value == 0:
+        raise _BadParam("heap: not above 0")
+    return value
+
+
+def _whole(params: dict[str, Any], name: str) -> int:
+    value = _number(params, name, needed=True)
+    if not value.is_integer():
+        raise _BadParam(f"{name}: not a whole number")
+    return int(value)
+
+
 def _text(params: dict[str, Any], name: str) -> str:
     value = params.get(name, "")
     if not isinstance(value, str) or len(value) > MAX_NAME:
--- a/shelfhaven/server/routers.py
+++ b/shelfhaven/server/routers.py
@@ -29,6 +29,7 @@
 READ = 64 * 1024  # bytes at a time
 BACKLOG = 1024
 OPEN_MOST = 32  # requests on a connection, by the protocol
+RECV_OFF = 60.0  # seconds; both clocks are this machine's, and no request is waited for so long
 SWEEP_LEAST = 0.05  # seconds between looks at idle connections; a request crosses a close within 50 ms
 CROSSING = 0.05  # seconds in which a request may cross a close, by the protocol
 MESSAGE_WITHIN = 1.5  # seconds for a whole message; who connects to be silent is closed on within 3
@@ -106,6 +107,8 @@
             self.end_broken(traceback.format_exc(limit=-4))
         if self.leaving:
             self.shut()
+        if self.outgoing:
+            self._flush()
 
     def end_broken(self, error: str) -> None:
         """Read nothing more; say why, and close once what is owed is sent."""
@@ -133,7 +136,7 @@
         """Whether a whole message has been awaited for too long, from the first byte or from the start."""
         return (self.silent or bool(self.cutter.unread)) and now - self.waits_since > MESSAGE_WITHIN
 
-    def _message(self, message: wire.Message | None) -> None:
+    def _message(self, message: wire.Message) -> None:
         match message:
             case wire.Request():
                 self._request(message)
@@ -141,6 +144,8 @@
                 if message.id in self.open:
                     self.open.discard(message.id)
                     self.tell(m.Cancel(self, message.id))
+                    # not owed, but harmless: who only asks and takes back is answered too
+                    self.outgoing.append(wire.error(message.id, wire.CANCELLED, "taken back", None))
             case wire.Check():
                 self.checks = True
                 self._claim(message.id)
@@ -164,6 +169,8 @@
             self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "org: unknown"))
         elif cls in self.names.keyed and not request.dedupe:
             self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "dedupe: missing in a keyed class"))
+        elif abs(time.time() - request.recv / 1000) > RECV_OFF:
+            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "recv: far from this machine's clock"))
         elif len(self.open) > OPEN_MOST:
             self.tell(m.Reject(self, request.id, wire.INVALID_REQUEST, "too many open requests"))
         else:
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 
+from shelfhaven.protocol import jsonrpc
 from shelfhaven.server import routers
 from tests.peers import play, site, until
 
@@ -80,3 +83,89 @@
             assert "result" in await late.answer(2)
 
     play(check)
+
+
+def test_who_asks_and_takes_back_is_answered_once_and_what_runs_goes_on() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            for n in range(2, 300):
+                router.request(n)
+                router.send({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": n}})
+            router.send({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": 999}})
+            assert (await router.answer(299))["error"]["code"] == jsonrpc.CANCELLED
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
+            assert sorted(message["id"] for message in router.got) == list(range(1, 300))
+            await until(lambda: len(s.app.core.by_ref) == 0)
+
+    play(check)
+
+
+@pytest.mark.parametrize("recv", [1.0, 4e15])
+def test_a_time_far_from_now_is_told_so_and_moves_nothing(recv: float) -> None:
+    async def check() -> None:
+        async with site() as s:
+            router = await s.router()
+            router.request(1, recv=recv)
+            assert (await router.answer(1))["error"]["code"] == jsonrpc.INVALID_PARAMS
+            assert s.app.core.controller.lag == 0.0
+            router.request(2)
+            assert "result" in await router.answer(2)
+
+    play(check)
+
+
+def test_the_name_of_an_open_try_is_answered_and_never_served() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            stranger = await s.router()
+            stranger.request(1, call=call)
+            assert "error" in await stranger.answer(1)
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
+            assert len(stranger.of(1)) == 1
+
+    play(check)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"Content-Length: -5\r\n\r\n{}",
+        b"Content-Length: 60000000\r\n\r\n",
+        b"Content-Length: 99999999999999999999\r\n\r\n",
+        b"x" * 5000,
+        b"Content-Length: 2\r\n\r\n\xff\xfe",
+    ],
+)
+@pytest.mark.parametrize("bytewise", [False, True])
+def test_what_is_no_message_is_told_so_and_closed_on(data: bytes, bytewise: bool) -> None:
+    async def check() -> None:
+        async with site() as s:
+            stranger = await s.router()
+            for piece in [data[n : n + 1] for n in range(min(len(data), 1100))] if bytewise else [data]:
+                stranger.writer.write(piece)
+            await until(lambda: stranger.ended)
+            assert not s.app.core.requests
+            router = await s.router()
+            router.request(1)
+            assert "result" in await router.answer(1)
+
+    play(check)
+
+
+def test_a_body_of_60_mb_is_ended_by_a_close_while_it_is_still_written() -> None:
+    async def check() -> None:
+        async with site() as s:
+            stranger = await s.router()
+            stranger.writer.write(b"Content-Length: 60000000\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                for _ in range(60):
+                    stranger.writer.write(b"x" * 1_000_000)
+                    await stranger.writer.drain()
+            await until(lambda: stranger.ended)
+
+    play(check)
