Seams: any front meets any runner, connections share one base, keys belong to a tenant

Need: a second protocol in front and behind must meet the same core and rules. Change: the core speaks to runners by neutral messages (launch, deliver, forgo, sample; done, wanted, lost), by class; what the agent's notices mean moved to backends/agent.py. Connections of any front share fronts/connection.py, listening sockets fronts/listener.py. A key belongs to its tenant, and to what the path says beside the body.

--- a/shelfhaven/server/agent.py
+++ b/shelfhaven/backends/agent.py
@@ -19,6 +19,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from shelfhaven.config import Address
+from shelfhaven.decision.interface import Outcome
 from shelfhaven.protocol import agent as wire
 from shelfhaven.server import messages as m
 from shelfhaven.server.log import Log
@@ -28,7 +29,26 @@
 RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries to connect
 RESTART_MARGIN = 1.0  # seconds, for clocks and delays, in telling an agent from the one before
 
-Teller: TypeAlias = Callable[[wire.Notice | m.LinkDown | m.AgentRestarted], None]
+Teller: TypeAlias = Callable[[m.Told], None]
+ENDS = {
+    "PASS": Outcome.OK,
+    "FAIL": Outcome.ERROR,
+    "KILLED": Outcome.CANCELLED,
+    "NOOP": Outcome.MOOT,
+}
+
+
+def command_of(message: m.Command | m.Sample) -> wire.Command | wire.Sample:
+    """The agent's word for a command."""
+    match message:
+        case m.Launch():
+            return wire.Launch(message.call, message.cls, message.body)
+        case m.Deliver():
+            return wire.Deliver(message.call, message.body)
+        case m.Forgo():
+            return wire.Forgo(message.call, message.number)
+        case m.Sample():
+            return wire.Sample(message.tag)
 
 
 @dataclass(slots=True)
@@ -44,7 +64,7 @@
 
     def __init__(self, address: Address, tell: Teller, log: Log) -> None:
         self.address, self.tell, self.log = address, tell, log
-        self.mailbox: Mailbox[wire.Command | wire.Sample] = Mailbox(self._take, log, self._flush)
+        self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log, self._flush)
         self.stream: IOStream | None = None
         self.outgoing: list[bytes] = []
         self.fate: dict[str, Pending] = {}  # by run: the command that nothing was heard of since
@@ -57,15 +77,16 @@
         self.ended = False
         self.sooner = asyncio.Event()  # the pause before the next link is over
 
-    def put(self, message: wire.Command | wire.Sample) -> None:
+    def put(self, message: m.Command | m.Sample) -> None:
         """Take a command."""
         self.mailbox.put(message)
 
-    def _take(self, message: wire.Command | wire.Sample) -> None:
-        if not isinstance(message, wire.Sample):
-            self.fate[message.id] = Pending(message, int(self.up))
+    def _take(self, message: m.Command | m.Sample) -> None:
+        command = command_of(message)
+        if not isinstance(command, wire.Sample):
+            self.fate[command.id] = Pending(command, int(self.up))
         if self.up:
-            self.outgoing.append(wire.encode(message))
+            self.outgoing.append(wire.encode(command))
 
     def _flush(self) -> None:
         if self.outgoing and self.stream and not self.stream.closed():
@@ -120,7 +141,7 @@
             self.up = False
             if not self.ended:
                 self.log.event("agent_link_down")
-                self.tell(m.LinkDown())
+                self.tell(m.RunnerDown())
 
     async def _link(self) -> None:
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
@@ -145,16 +166,28 @@
                 if notice.number <= self.last:
                     return
                 self.last = notice.number
-                if not isinstance(notice, wire.Aside):
+                if isinstance(notice, wire.Outcome):
                     self._heard_of(notice.id)
-                    self.tell(notice)
+                    self._ended(notice)
+                elif isinstance(notice, wire.Wanted):
+                    self._heard_of(notice.id)
+                    self.tell(m.Wanted(notice.id, notice.number, notice.body))
             case wire.Malformed():
                 self._heard_of(notice.id)  # sent again, a launch could run what is over
-                self.tell(notice)
+                self.log.event("agent_malformed", line=notice.line)
+                if notice.id:
+                    self.tell(m.RunDone(notice.id, Outcome.ERROR, 0.0))
             case wire.Refusal():
                 self._refused(notice)
-            case _:
-                self.tell(notice)
+            case wire.Sampled():
+                self.tell(m.Sampled(notice.tag, notice.values))
+
+    def _ended(self, outcome: wire.Outcome) -> None:
+        end = ENDS.get(outcome.end)
+        if end is None:
+            self.log.event("agent_unknown_end", end=outcome.end)
+        body = outcome.body if end is Outcome.OK else b""
+        self.tell(m.RunDone(outcome.id, end or Outcome.ERROR, outcome.ms / 1000, body))
 
     def _heard_of(self, id_: str) -> Pending | None:
         """Something was heard of a run: its command, if one was open, has its fate."""
@@ -167,10 +200,12 @@
         if self.asked - greeting.ms / 1000 > self.met + RESTART_MARGIN:  # started after it was met
             self.fate.clear()
             self.last = 0  # it counts anew
-            self.tell(m.AgentRestarted())
+            self.log.event("agent_restarted")
+            self.tell(m.RunsLost(self))
             self.met = now
         self.met = min(self.met, now)
-        self.tell(greeting)
+        self.log.event("agent_up", loaded=greeting.loaded, since_ms=greeting.ms)
+        self.tell(m.RunnerUp(greeting.loaded, greeting.ms / 1000))
         self.barrier = f"link{self.links}"
         self.outgoing.append(wire.encode(wire.Sample(self.barrier)))
         self._flush()
@@ -190,4 +225,7 @@
         """
         pending = self._heard_of(refusal.id)
         if pending and (pending.links < 2 or isinstance(pending.command, wire.Launch)):
-            self.tell(refusal)
+            self.log.event("agent_refused", command=refusal.command, call=refusal.id)
+            # nothing more will be heard of it
+            never = refusal.command == "launch"
+            self.tell(m.RunDone(refusal.id, Outcome.MOOT if never else Outcome.ERROR, 0.0))
--- /dev/null
+++ b/shelfhaven/fronts/jsonrpc.py
@@ -0,0 +1,131 @@
+"""The routers' front: JSON-RPC requests of any number on a connection.
+
+Owns what that protocol means: which message is which, and the ids that are open. It must never answer of its
+own will: answers come from the core.
+"""
+
+from __future__ import annotations
+
+import time
+
+from tornado.iostream import IOStream
+
+from shelfhaven.config import Config
+from shelfhaven.decision.interface import Repeat
+from shelfhaven.fronts.connection import Connection, ToCore, Unreadable
+from shelfhaven.protocol import jsonrpc as wire
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+
+OPEN_MOST = 32  # requests on a connection, by the protocol
+RECV_OFF = 60.0  # seconds; both clocks are this machine's, and no request is waited for so long
+
+
+class Names:
+    """Places of classes and tenants in the settings, by name."""
+
+    def __init__(self, config: Config) -> None:
+        self.classes = {name: place for place, name in enumerate(config.classes)}
+        self.keyed = {place for place, c in enumerate(config.settings.classes) if c.repeat is Repeat.KEYED}
+        self.tenants = {name: place for place, name in enumerate(config.tenants)}
+
+
+class RouterConnection(Connection):
+    """Actor of one router's connection."""
+
+    def __init__(self, stream: IOStream, names: Names, tell: ToCore, log: Log) -> None:
+        super().__init__(stream, tell, log)
+        self.names = names
+        self.cutter = wire.Cutter()
+        self.told = False  # that no new request is wanted on it
+
+    @property
+    def unread(self) -> bool:
+        return bool(self.cutter.unread)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            for body in self.cutter.feed(data):
+                self._came()
+                self._message(wire.decode(body))
+        except wire.StreamError as error:
+            raise Unreadable(str(error)) from error
+
+    def _last_words(self, error: Unreadable) -> bytes:
+        return wire.UNREADABLE
+
+    def _message(self, message: wire.Message) -> None:
+        match message:
+            case wire.Request():
+                self._request(message)
+            case wire.Cancel():
+                if message.id in self.open:
+                    self.open.discard(message.id)
+                    self.tell(m.Cancel(self, message.id))
+                    # not owed, but harmless: who only asks and takes back is answered too
+                    self.outgoing.append(wire.error(message.id, wire.CANCELLED, "taken back", None))
+            case wire.Check():
+                self.checks = True
+                self._claim(message.id)
+                self.tell(m.Check(self, message.id))
+            case wire.Invalid():
+                self._claim(message.id)
+                self.tell(m.Reject(self, message.id, message.code, message.message))
+
+    def _claim(self, ref: int) -> None:
+        if ref in self.open:
+            raise wire.StreamError("an id that is open already")
+        self.open.add(ref)
+
+    def _request(self, request: wire.Request) -> None:
+        self._claim(request.id)
+        cls = self.names.classes.get(request.cls)
+        tenant = self.names.tenants.get(request.org, -1 if request.org else 0)
+        if cls is None:
+            self.tell(m.Reject(self, request.id, wire.NO_METHOD, "unknown method"))
+        elif tenant < 0:
+            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "org: unknown"))
+        elif cls in self.names.keyed and not request.dedupe:
+            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "dedupe: missing in a keyed class"))
+        elif abs(time.time() - request.recv / 1000) > RECV_OFF:
+            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "recv: far from this machine's clock"))
+        elif len(self.open) > OPEN_MOST:
+            self.tell(m.Reject(self, request.id, wire.INVALID_REQUEST, "too many open requests"))
+        else:
+            self.tell(
+                m.Submit(
+                    front=self,
+                    ref=request.id,
+                    call=request.call,
+                    cls=cls,
+                    tenant=tenant,
+                    caller=request.src,
+                    recv=request.recv / 1000,
+                    budget=request.ttl / 1000,
+                    hint=request.work / 1000,
+                    footprint_kb=request.heap,
+                    rank=request.crit,
+                    retry=request.rep,
+                    dedupe=request.dedupe,
+                    key=request.row,
+                    body=request.body,
+                )
+            )
+
+    def shut(self) -> None:
+        """Tell the router so."""
+        if not self.told and not self.stream.closed():
+            self.told = True
+            self.stream.write(wire.SHUTDOWN)
+
+    def _encode(self, answer: m.Answer) -> bytes:
+        match answer:
+            case m.Served():
+                return wire.served(answer.ref, answer.body, answer.load)
+            case m.Refused():
+                pushback = round(answer.retry_after * 1000, 3)
+                return wire.error(answer.ref, wire.REFUSED, "refused", answer.load, pushback, answer.stay)
+            case m.Failed():
+                return wire.error(answer.ref, answer.code or wire.FAILED, answer.text, answer.load)
+            case m.Healthy():
+                return wire.health(answer.ref, answer.good, answer.load)
--- /dev/null
+++ b/shelfhaven/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: stand-ins of other systems, loads, checkers of the rules."""
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -18,15 +18,16 @@
 from typing import Any
 
 from shelfhaven import config
+from shelfhaven.backends.agent import Agent
+from shelfhaven.backends.ledger import Ledger
 from shelfhaven.config import Config
+from shelfhaven.fronts.jsonrpc import Names, RouterConnection
+from shelfhaven.fronts.listener import Fronts, Listener
 from shelfhaven.server import messages as m
-from shelfhaven.server.agent import Agent
 from shelfhaven.server.core import Core
 from shelfhaven.server.descriptors import Descriptors
-from shelfhaven.server.ledger import Ledger
 from shelfhaven.server.log import Log
 from shelfhaven.server.members import Members
-from shelfhaven.server.routers import Listener, Names
 
 LISTEN_TRIES, LISTEN_PAUSE = 30, 0.1  # seconds between tries
 CLOSING_PART = 0.16  # of the time to leave: what is left when the listener is closed
@@ -68,8 +69,13 @@
         self.agent = Agent(first.agent, self.core.put, log)
         self.ledger = Ledger(first.ledger, descriptors, self.core.put, log)
         self.members = Members(first.members, first.name, log)
-        self.listener = Listener(first.listen, descriptors, Names(first), self.core.put, log)
-        self.core.connect(self.agent, self.ledger, self.members, self.listener)
+        names = Names(first)
+        self.listener = Listener(
+            first.listen, descriptors, lambda s, _: RouterConnection(s, names, self.core.put, log), log
+        )
+        self.listeners = [self.listener]
+        runners = [self.agent] * len(first.classes)
+        self.core.connect(runners, self.ledger, self.members, Fronts(self.listeners))
         self.leave = asyncio.Event()
         self.stop_at = self.closing = 0.0
         self.look: asyncio.TimerHandle | None = None
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -15,7 +15,7 @@
 import time
 import traceback
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any, Protocol, TypeAlias, TypeVar
@@ -23,7 +23,6 @@
 from shelfhaven.config import Config
 from shelfhaven.decision import interface as i
 from shelfhaven.decision.control import Controller
-from shelfhaven.protocol import agent as wire
 from shelfhaven.server import messages as m
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading
@@ -35,27 +34,8 @@
 DIGEST = 16  # bytes
 RESULTS_PART = 1 / 16  # of the program's memory, for stored results
 
-ENDS = {
-    "PASS": i.Outcome.OK,
-    "FAIL": i.Outcome.ERROR,
-    "KILLED": i.Outcome.CANCELLED,
-    "NOOP": i.Outcome.MOOT,
-}
-
-Message: TypeAlias = (
-    m.Submit
-    | m.Cancel
-    | m.Reject
-    | m.Check
-    | m.LinkDown
-    | m.AgentRestarted
-    | m.CallDone
-    | m.Leave
-    | wire.Notice
-)
-
-
-Key: TypeAlias = tuple[int, str, bytes]  # class, key, digest of the body
+Message: TypeAlias = m.Submit | m.Cancel | m.Reject | m.Check | m.CallDone | m.Leave | m.Told
+Key: TypeAlias = tuple[int, int, str, bytes]  # class, tenant, key, digest of what is asked
 Told = TypeVar("Told", contravariant=True)
 
 
@@ -66,14 +46,6 @@
         """Take a message."""
 
 
-class AgentActor(Actor[wire.Command | wire.Sample], Protocol):
-    """What the core needs of the agent's actor."""
-
-    @property
-    def up(self) -> bool:
-        """Whether the link carries commands just now."""
-
-
 LedgerActor: TypeAlias = Actor[m.PlaceCall | m.DropCall]
 MembersActor: TypeAlias = Actor[m.Standing]
 FrontsActor: TypeAlias = Actor[m.KeepIdle]
@@ -102,6 +74,14 @@
 RUN = (Stage.RUNNING, Stage.AT_CALL, Stage.CALLING)
 
 
+def _digest(submit: m.Submit) -> bytes:
+    """What tells one request from another under one key: its body, and what path and query add."""
+    digest = hashlib.blake2b(submit.body, digest_size=DIGEST)
+    for part in submit.asked.parts if submit.asked else ():
+        digest.update(b"\0%d\0%b" % (len(part), part.encode()))
+    return digest.digest()
+
+
 @dataclass(slots=True)
 class Request:
     """One try."""
@@ -120,8 +100,8 @@
 
     @property
     def key(self) -> Key:
-        """All tries of one request carry the same body: a key with another body is another request's."""
-        return self.submit.cls, self.submit.dedupe, self.digest
+        """All tries of one request come from one tenant and ask the same: else it is another request's."""
+        return self.submit.cls, self.submit.tenant, self.submit.dedupe, self.digest
 
 
 @dataclass(slots=True)
@@ -152,7 +132,8 @@
         settings = replace(config.settings, tick=max(config.settings.tick, GAUGES_WITHIN))
         self.controller = Controller(settings, config.seed)
         self.mailbox: Mailbox[Message] = Mailbox(self._take, log)
-        self.agent: AgentActor
+        self.runners: Sequence[m.Runner]  # by class
+        self.gauged: m.Runner  # tells the gauges
         self.ledger: LedgerActor
         self.members: MembersActor
         self.fronts: FrontsActor
@@ -180,10 +161,11 @@
         self.answers: Counter[str] = Counter()  # by kind, since the last look
 
     def connect(
-        self, agent: AgentActor, ledger: LedgerActor, members: MembersActor, fronts: FrontsActor
+        self, runners: Sequence[m.Runner], ledger: LedgerActor, members: MembersActor, fronts: FrontsActor
     ) -> None:
-        """Learn the actors that actions go to."""
-        self.agent, self.ledger, self.members, self.fronts = agent, ledger, members, fronts
+        """Learn the actors that actions go to; `runners` by class, the first tells the gauges."""
+        self.runners, self.gauged = runners, runners[0]
+        self.ledger, self.members, self.fronts = ledger, members, fronts
 
     def put(self, message: Message) -> None:
         """Take a message."""
@@ -230,23 +212,19 @@
                 message.front.answer(m.Failed(message.ref, message.text, self.load, message.code))
             case m.Check():
                 message.front.answer(m.Healthy(message.ref, self.good, self.load))
-            case wire.Outcome():
-                self._outcome(message)
-            case wire.Wanted():
+            case m.RunDone():
+                if request := self._run_of(message.call):
+                    self._run_ended(request, message.outcome, message.spent, message.body)
+            case m.Wanted():
                 self._wanted(message)
-            case wire.Sampled():
+            case m.Sampled():
                 self._sampled(message)
-            case wire.Greeting():
-                self.log.event("agent_up", loaded=message.loaded, since_ms=message.ms)
+            case m.RunnerUp():
                 self._start()
-            case wire.Refusal():
-                self._refused_command(message)
-            case wire.Malformed():
-                self._malformed(message)
-            case m.LinkDown():
+            case m.RunnerDown():
                 self._fire_soon(self.sampling)
-            case m.AgentRestarted():
-                self._agent_restarted()
+            case m.RunsLost():
+                self._runs_lost(message.runner)
             case m.CallDone():
                 self._call_done(message)
             case m.Leave():
@@ -265,7 +243,7 @@
             return
         request = Request(next(self.ids), submit)
         if submit.dedupe:
-            request.digest = hashlib.blake2b(submit.body, digest_size=DIGEST).digest()
+            request.digest = _digest(submit)
         age = max(0.0, self.wall() - submit.recv)
         request.same_as = self._same_as(request, self.clock() - age)
         self.requests[request.id] = self.by_call[submit.call] = request
@@ -310,14 +288,6 @@
         if request.stage is Stage.CALLING:
             self.ledger.put(m.DropCall(request.id))
 
-    def _outcome(self, outcome: wire.Outcome) -> None:
-        request, end = self._run_of(outcome.id), ENDS.get(outcome.end)
-        if request is None:
-            return
-        if end is None:
-            self.log.event("agent_unknown_end", end=outcome.end)
-        self._run_ended(request, end or i.Outcome.ERROR, outcome.ms / 1000, outcome.body)
-
     def _run_ended(self, request: Request, end: i.Outcome, spent: float, body: bytes = b"") -> None:
         self._drop_call(request)
         self._over(request, body if end is i.Outcome.OK else None)
@@ -327,8 +297,8 @@
             self._fail(request, "the run failed")
         self.events.append(i.RunEnded(request.id, end, spent))
 
-    def _wanted(self, wanted: wire.Wanted) -> None:
-        request = self._run_of(wanted.id)
+    def _wanted(self, wanted: m.Wanted) -> None:
+        request = self._run_of(wanted.call)
         if request is None:
             return
         self._drop_call(request)  # it waits for another by now
@@ -341,27 +311,17 @@
             return
         if done.outcome is i.Outcome.OK:
             request.stage = Stage.RUNNING
-            self.agent.put(wire.Deliver(request.submit.call, done.body))
+            self._runner(request).put(m.Deliver(request.submit.call, done.body))
         else:
             request.stage = Stage.AT_CALL
         self.events.append(i.CallEnded(request.id, done.outcome, self.clock() - request.since))
 
-    def _refused_command(self, refusal: wire.Refusal) -> None:
-        request = self._run_of(refusal.id)
-        self.log.event("agent_refused", command=refusal.command, call=refusal.id)
-        if request:  # nothing more will be heard of it
-            never = refusal.command == "launch"
-            self._run_ended(request, i.Outcome.MOOT if never else i.Outcome.ERROR, 0.0)
-
-    def _malformed(self, line: wire.Malformed) -> None:
-        self.log.event("agent_malformed", line=line.line)
-        if request := self._run_of(line.id):
-            self._run_ended(request, i.Outcome.ERROR, 0.0)
+    def _runner(self, request: Request) -> m.Runner:
+        return self.runners[request.submit.cls]
 
-    def _agent_restarted(self) -> None:
-        self.log.event("agent_restarted")
+    def _runs_lost(self, runner: m.Runner) -> None:
         for request in list(self.requests.values()):
-            if request.stage in RUN:
+            if request.stage in RUN and self._runner(request) is runner:
                 self._run_ended(request, i.Outcome.ERROR, 0.0)
 
     def _leave(self, leave: m.Leave) -> None:
@@ -444,8 +404,7 @@
         match action:
             case i.Run() if request.stage is Stage.HELD and request.owed is Owed.OWED:
                 request.stage, request.launched = Stage.RUNNING, True
-                name = self.config.classes[request.submit.cls]
-                self.agent.put(wire.Launch(request.submit.call, name, request.submit.body))
+                self._launch(request)
             case i.Run() if request.stage is Stage.HELD:
                 self.events.append(i.RunEnded(request.id, i.Outcome.MOOT, 0.0))
             case i.Refuse():
@@ -465,7 +424,24 @@
                 self.ledger.put(m.PlaceCall(request.id, request.submit.call, limit, request.call_body))
             case i.Skip() if request.stage is Stage.AT_CALL:
                 request.stage = Stage.RUNNING
-                self.agent.put(wire.Forgo(request.submit.call, request.notice))
+                self._runner(request).put(m.Forgo(request.submit.call, request.notice))
+
+    def _launch(self, request: Request) -> None:
+        submit = request.submit
+        cls = self.config.settings.classes[submit.cls]
+        again = cls.repeat is i.Repeat.SAFE
+        launch = m.Launch(
+            submit.call, self.config.classes[submit.cls], submit.body, self._left(request), again,
+            submit.dedupe, submit.asked,
+        )  # fmt: skip
+        self._runner(request).put(launch)
+
+    def _left(self, request: Request) -> float:
+        """Seconds until the request's final answer is due, by class and caller; below 0 after that."""
+        submit = request.submit
+        deadline = self.config.settings.classes[submit.cls].deadline
+        wait = min(deadline, submit.budget) if submit.budget > 0 else deadline
+        return submit.recv + wait - self.wall()
 
     def _answer(self, request: Request, answer: m.Answer) -> None:
         """The one place where an answer leaves: only while it is owed, so never twice."""
@@ -476,7 +452,8 @@
             request.submit.front.answer(answer)
 
     def _fail(self, request: Request, text: str) -> None:
-        self._answer(request, m.Failed(request.submit.ref, text, self.load))
+        late = self._left(request) <= self.controller.margin + GAUGES_WITHIN
+        self._answer(request, m.Failed(request.submit.ref, text, self.load, late=late))
 
     def _give_up(self, request: Request, text: str) -> None:
         """Answer as failed; what has not run never will, what runs goes on."""
@@ -580,13 +557,13 @@
     def _due(self) -> None:
         self.alarm, self.alarm_at = None, float("inf")
         self.sampling = f"t{next(self.samples)}"
-        if self.agent.up:
-            self.agent.put(wire.Sample(self.sampling))
+        if self.gauged.up:
+            self.gauged.put(m.Sample(self.sampling))
             asyncio.get_running_loop().call_later(GAUGES_WITHIN, self._fire_soon, self.sampling)
         else:
             self._fire_soon(self.sampling)
 
-    def _sampled(self, sampled: wire.Sampled) -> None:
+    def _sampled(self, sampled: m.Sampled) -> None:
         self.gauges = sampled.values
         if sampled.tag == self.sampling:
             self._fire()
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -1,6 +1,6 @@
 """What actors tell each other: small typed values that name no protocol.
 
-Owns the types alone, so that a second front with another protocol goes through the same core.  No logic here.
+Owns the types alone, so that any front meets any runner through the same core. No logic here.
 """
 
 from __future__ import annotations
@@ -38,6 +38,7 @@
     text: str
     load: float | None
     code: int = 0
+    late: bool = False  # its time was up
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,22 @@
         """Take one answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """How a request was asked where its front tells: what a runner passes on beside the body.
+
+    `parts` is what the path and the query add to the body in saying what is asked: the path's variable
+    parts and the query, empty where a request of the same class needs neither.
+    """
+
+    method: str
+    path: str
+    query: str
+    content_type: str
+    extra: tuple[tuple[str, str], ...] = ()  # further variables, as the operator lists them
+    parts: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Submit:
     """A request; `ref` is the front's name for it, `recv` the Unix time at which it reached the machine.
@@ -81,6 +98,7 @@
     dedupe: str
     key: int
     body: bytes
+    asked: Asked | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,14 +127,115 @@
     ref: int
 
 
+# What the core tells a runner
+
+
+@dataclass(frozen=True, slots=True)
+class Launch:
+    """Run a request. `left`: seconds that its caller still waits; `again`: whether it may run twice."""
+
+    call: str
+    cls: str
+    body: bytes
+    left: float = 0.0
+    again: bool = False
+    key: str = ""  # of its tries, for a runner that passes it on
+    asked: Asked | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Hand a run the reply to its call."""
+
+    call: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
-class LinkDown:
-    """The agent's link broke; runs go on."""
+class Forgo:
+    """Let a run go on without the call that it asked for under that number."""
+
+    call: str
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
-class AgentRestarted:
-    """The agent started anew: what ran before is gone."""
+class Sample:
+    """Ask for the gauges."""
+
+    tag: str
+
+
+Command: TypeAlias = Launch | Deliver | Forgo
+
+
+class Runner(Protocol):
+    """Who runs requests, as the core knows it.
+
+    Each launch ends in one `RunDone`, or in `RunsLost`; a launch is never repeated by the core. What is known
+    of a run after a break is the runner's to find out: it says `MOOT`, `FULL` or `CONNECT_FAILED` only if the
+    run never began.
+    """
+
+    @property
+    def up(self) -> bool:
+        """Whether a sample would be answered just now."""
+
+    def put(self, message: Command | Sample) -> None:
+        """Take a command."""
+
+
+# What a runner tells the core
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerUp:
+    """A runner takes up work; `loaded` as it says of itself, `since` seconds ago."""
+
+    loaded: bool
+    since: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunDone:
+    """A run is over after `spent` seconds; `body` is its result if it went well."""
+
+    call: str
+    outcome: Outcome
+    spent: float
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A run waits for a call with this body; `number` is the runner's name for that."""
+
+    call: str
+    number: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Sampled:
+    """The gauges, in the order of the settings."""
+
+    tag: str
+    values: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerDown:
+    """A runner's link broke; runs go on."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunsLost:
+    """A runner started anew: what it ran before is gone."""
+
+    runner: Runner
+
+
+Told: TypeAlias = RunnerUp | RunDone | Wanted | Sampled | RunnerDown | RunsLost
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,8 +15,8 @@
 from hypothesis import strategies as st
 
 from shelfhaven import config
+from shelfhaven.backends.agent import ENDS
 from shelfhaven.decision import interface as i
-from shelfhaven.protocol import agent as wire
 from shelfhaven.server import messages as m
 from shelfhaven.server.core import Core, Message
 from shelfhaven.server.log import Log
@@ -57,8 +57,8 @@
             wall=lambda: 5000.0 + self.now,
         )
         self.agent, self.ledger, self.members, self.fronts, self.front = (Sink() for _ in range(5))
-        self.core.connect(self.agent, self.ledger, self.members, self.fronts)
-        self.tell(wire.Greeting(True, 0.0))
+        self.core.connect([self.agent] * 2, self.ledger, self.members, self.fronts)
+        self.tell(m.RunnerUp(True, 0.0))
 
     def tell(self, message: Message) -> None:
         self.core._take(message)
@@ -74,7 +74,7 @@
         return call
 
     def end(self, call: str, end: str = "PASS", body: bytes = b"result") -> None:
-        self.tell(wire.Outcome(0, call, end, 100.0, body if end == "PASS" else b""))
+        self.tell(m.RunDone(call, ENDS.get(end, i.Outcome.ERROR), 0.1, body if end == "PASS" else b""))
 
     def later(self, seconds: float) -> None:
         """Let time pass and tell due timers."""
@@ -89,7 +89,7 @@
         return [a for a in self.front.got if a.ref == ref]
 
     def launched(self) -> list[str]:
-        return [command.id for command in self.agent.of(wire.Launch)]
+        return [command.call for command in self.agent.of(m.Launch)]
 
 
 def bench(test: Callable[[Bench], None], **changes: Any) -> None:
@@ -104,7 +104,7 @@
 def test_a_run_is_launched_with_its_body_and_its_result_goes_out_unchanged() -> None:
     def check(b: Bench) -> None:
         call = b.submit(1)
-        assert b.agent.of(wire.Launch) == [wire.Launch(call, "look", b"body")]
+        assert [(x.call, x.cls, x.body) for x in b.agent.of(m.Launch)] == [(call, "look", b"body")]
         b.end(call, body=b"\x00\xff")
         assert b.answers(1) == [m.Served(1, b"\x00\xff", b.core.load)]
         assert not b.core.requests
@@ -156,12 +156,12 @@
 def test_a_call_goes_below_and_its_reply_to_the_run() -> None:
     def check(b: Bench) -> None:
         call = b.submit(1)
-        b.tell(wire.Wanted(3, call, b"ask"))
+        b.tell(m.Wanted(call, 3, b"ask"))
         (placed,) = b.ledger.of(m.PlaceCall)
         assert (placed.txn, placed.body) == (call, b"ask")
         assert 0 < placed.limit <= 1.5
         b.tell(m.CallDone(placed.ref, i.Outcome.OK, b"reply"))
-        assert b.agent.of(wire.Deliver) == [wire.Deliver(call, b"reply")]
+        assert b.agent.of(m.Deliver) == [m.Deliver(call, b"reply")]
         b.end(call)
         assert [type(a) for a in b.answers(1)] == [m.Served]
 
@@ -171,9 +171,9 @@
 def test_a_failed_call_is_left_out_where_that_keeps_worth() -> None:
     def check(b: Bench) -> None:
         call = b.submit(1)
-        b.tell(wire.Wanted(3, call, b"ask"))
+        b.tell(m.Wanted(call, 3, b"ask"))
         b.tell(m.CallDone(b.ledger.of(m.PlaceCall)[0].ref, i.Outcome.FULL))
-        assert b.agent.of(wire.Forgo) == [wire.Forgo(call, 3)]
+        assert b.agent.of(m.Forgo) == [m.Forgo(call, 3)]
 
     bench(check)
 
@@ -181,12 +181,12 @@
 def test_a_run_that_ends_at_its_call_gives_the_call_up() -> None:
     def check(b: Bench) -> None:
         call = b.submit(1)
-        b.tell(wire.Wanted(3, call, b"ask"))
+        b.tell(m.Wanted(call, 3, b"ask"))
         ref = b.ledger.of(m.PlaceCall)[0].ref
         b.end(call, "KILLED")
         assert b.ledger.of(m.DropCall) == [m.DropCall(ref)]
         b.tell(m.CallDone(ref, i.Outcome.OK, b"late"))
-        assert b.agent.of(wire.Deliver) == []
+        assert b.agent.of(m.Deliver) == []
         assert len(b.answers(1)) == 1
 
     bench(check)
@@ -333,9 +333,9 @@
 def test_refused_commands_and_malformed_lines_end_their_run_as_failed() -> None:
     def check(b: Bench) -> None:
         first, second = b.submit(1), b.submit(2)
-        b.tell(wire.Refusal("launch", first))
-        b.tell(wire.Malformed("outcome 4", second))
-        b.tell(wire.Malformed("nonsense"))
+        b.tell(m.RunDone(first, i.Outcome.MOOT, 0.0))
+        b.tell(m.RunDone(second, i.Outcome.ERROR, 0.0))
+        b.tell(m.RunDone("unheard of", i.Outcome.ERROR, 0.0))
         assert [type(a) for a in (*b.answers(1), *b.answers(2))] == [m.Failed] * 2
         assert not b.core.requests
 
@@ -345,7 +345,7 @@
 def test_runs_of_an_agent_that_started_anew_are_failed() -> None:
     def check(b: Bench) -> None:
         first, second = b.submit(1), b.submit(2, PAY, "k")
-        b.tell(m.AgentRestarted())
+        b.tell(m.RunsLost(b.agent))
         assert [type(a) for a in (*b.answers(1), *b.answers(2))] == [m.Failed] * 2
         assert not b.core.requests
         b.submit(3, PAY, "k")
@@ -361,7 +361,7 @@
         lost = b.launched()
         held = [r.submit.call for r in b.core.requests.values() if r.submit.call not in lost]
         assert held
-        b.tell(m.AgentRestarted())
+        b.tell(m.RunsLost(b.agent))
         assert all([type(a) for a in b.answers(int(call, 16))] == [m.Failed] for call in lost)
         started = [call for call in b.launched() if call not in lost]
         assert started
@@ -377,18 +377,18 @@
     def check(b: Bench) -> None:
         b.now += 0.1
         b.core._due()
-        (asked,) = b.agent.of(wire.Sample)
+        (asked,) = b.agent.of(m.Sample)
         ticks = len(b.core.timers)
-        b.tell(wire.Sampled("other", (1.0, 1.0, 1.0, 1.0)))
+        b.tell(m.Sampled("other", (1.0, 1.0, 1.0, 1.0)))
         assert len(b.core.timers) == ticks  # still waiting
-        b.tell(wire.Sampled(asked.tag, (0.5, 1.0, 0.2, 9.0)))
+        b.tell(m.Sampled(asked.tag, (0.5, 1.0, 0.2, 9.0)))
         assert b.core.gauges == (0.5, 1.0, 0.2, 9.0)
         assert b.core.sampling == ""
         assert b.core.timers[0][0] > b.now
         b.agent.up = False
         b.now += 0.1
         b.core._due()
-        assert len(b.agent.of(wire.Sample)) == 1
+        assert len(b.agent.of(m.Sample)) == 1
         b.core._fire_unless_sampled(b.core.sampling)
         assert b.core.timers[0][0] > b.now
 
@@ -479,7 +479,7 @@
 
         b.core.controller.on_event = failing  # type: ignore[method-assign]
         call = b.submit(1)
-        b.tell(wire.Wanted(1, call, b"ask"))
+        b.tell(m.Wanted(call, 1, b"ask"))
         b.end(call)
         b.later(0.3)
         assert len(b.answers(1)) == 1
@@ -569,19 +569,19 @@
                     ends = {"pass": "PASS", "fail": "FAIL", "kill": "KILLED", "noop": "NOOP"}
                     b.end(call, ends[step])
                 case "want":
-                    b.tell(wire.Wanted(pick, call, b"ask"))
+                    b.tell(m.Wanted(call, pick, b"ask"))
                 case "called" | "lost" | "full":
                     ended = {"called": i.Outcome.OK, "lost": i.Outcome.RESET, "full": i.Outcome.FULL}
                     request = b.core.by_call.get(call)
                     if request:
                         b.tell(m.CallDone(request.id, ended[step], b"reply"))
                 case "refusal":
-                    b.tell(wire.Refusal("launch", call))
+                    b.tell(m.RunDone(call, i.Outcome.MOOT, 0.0))
                 case "down":
                     b.agent.up = not b.agent.up
-                    b.tell(m.LinkDown())
+                    b.tell(m.RunnerDown())
                 case "restart":
-                    b.tell(m.AgentRestarted())
+                    b.tell(m.RunsLost(b.agent))
                 case "leave" if not left:
                     left = True
                     b.tell(m.Leave(2.0))
@@ -605,3 +605,46 @@
         assert not b.core.by_call
 
     bench(check)
+
+
+def test_the_key_and_body_of_another_tenant_are_another_request() -> None:
+    def check(b: Bench) -> None:
+        first = b.submit(1, PAY, "k", tenant=0)
+        second = b.submit(2, PAY, "k", tenant=1)
+        b.end(first, body=b"of the first")
+        b.end(second, body=b"of the second")
+        assert b.launched() == [first, second]
+        assert [a.body for a in (*b.answers(1), *b.answers(2))] == [b"of the first", b"of the second"]
+        b.submit(3, PAY, "k", tenant=1)
+        assert [a.body for a in b.answers(3)] == [b"of the second"]
+        assert b.launched() == [first, second]
+
+    bench(check)
+
+
+def test_the_same_key_and_body_asked_of_another_path_are_another_request() -> None:
+    def check(b: Bench) -> None:
+        asked = [m.Asked("POST", f"/topup/{n}", "", "", parts=(n,)) for n in ("1", "2")]
+        calls = [b.submit(n, PAY, "k", asked=asked[n - 1]) for n in (1, 2)]
+        assert b.launched() == calls
+        for call in calls:
+            b.end(call)
+        plain = [b.submit(3, PAY, "q", asked=m.Asked("POST", "/topup", "", "")), b.submit(4, PAY, "q")]
+        assert b.launched() == [*calls, plain[0]]  # a front that tells no path asks the same
+
+    bench(check)
+
+
+def test_runs_lost_by_one_runner_are_not_those_of_another() -> None:
+    def check(b: Bench) -> None:
+        other = Sink()
+        b.core.runners = [b.agent, other]
+        first, second = b.submit(1), b.submit(2, PAY, "k")
+        assert [x.call for x in other.of(m.Launch)] == [second]
+        b.tell(m.RunsLost(other))
+        assert [type(a) for a in b.answers(2)] == [m.Failed]
+        assert b.answers(1) == []
+        b.end(first)
+        assert [type(a) for a in b.answers(1)] == [m.Served]
+
+    bench(check)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,10 +12,10 @@
 import orjson
 import pytest
 
+from shelfhaven.backends import ledger
+from shelfhaven.backends.agent import RESTART_MARGIN, RETRY_MOST
 from shelfhaven.protocol import agent as wire
 from shelfhaven.protocol import jsonrpc
-from shelfhaven.server import ledger
-from shelfhaven.server.agent import RESTART_MARGIN, RETRY_MOST
 from shelfhaven.server.app import NEXT, App, Phase
 from shelfhaven.server.log import FromLibraries, Log
 from tests.peers import NULL, Site, play, site, until
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -6,14 +6,15 @@
 
 import pytest
 
+from shelfhaven.fronts import listener
+from shelfhaven.fronts.connection import Connection
 from shelfhaven.protocol import jsonrpc
-from shelfhaven.server import routers
 from tests.peers import play, site, until
 
 
 def test_who_stays_silent_is_closed_on_and_who_asked_once_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(routers, "MESSAGE_WITHIN", 0.2)
-    monkeypatch.setattr(routers, "WATCH", 0.02)
+    monkeypatch.setattr(Connection, "within", 0.2)
+    monkeypatch.setattr(listener, "WATCH", 0.02)
 
     async def check() -> None:
         async with site() as s:
@@ -27,8 +28,8 @@
 
 
 def test_who_stalls_in_a_message_is_closed_on_after_what_is_owed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(routers, "MESSAGE_WITHIN", 0.2)
-    monkeypatch.setattr(routers, "WATCH", 0.02)
+    monkeypatch.setattr(Connection, "within", 0.2)
+    monkeypatch.setattr(listener, "WATCH", 0.02)
 
     async def check() -> None:
         async with site() as s:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -15,14 +15,14 @@
 import orjson
 import pytest
 
+from shelfhaven.backends import ledger
+from shelfhaven.backends.ledger import Ledger
 from shelfhaven.config import Address
 from shelfhaven.decision.interface import Outcome
 from shelfhaven.protocol import jsonrpc
-from shelfhaven.server import ledger
 from shelfhaven.server import messages as m
 from shelfhaven.server.app import Phase
 from shelfhaven.server.descriptors import Descriptors
-from shelfhaven.server.ledger import Ledger
 from shelfhaven.server.log import Log
 from tests import peers
 from tests.peers import NULL, free_port, play, site, until
@@ -131,7 +131,7 @@
             raise OSError(24, "too many open files")
 
         with monkeypatch.context() as patch:
-            patch.setattr("shelfhaven.server.ledger.socket.socket", none)
+            patch.setattr("shelfhaven.backends.ledger.socket.socket", none)
             ledger._take(m.PlaceCall(1, "a" * 16, 60.0, b""))
         assert (done, descriptors.calls) == ([], 0)
         descriptors.give_router()  # a descriptor is back
