--- a/shelfhaven/__main__.py
+++ b/shelfhaven/__main__.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, version.
+"""The command line: serve, check-config, demo, version.
 
 Owns the reading of arguments and the exit codes. It must never hold logic of the server or of the
 configuration.
@@ -11,31 +11,41 @@
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from shelfhaven import __version__, config
-from shelfhaven.server.app import App
+from shelfhaven.server import app
 from shelfhaven.server.log import FromLibraries, Log
 
+if TYPE_CHECKING:
+    from shelfhaven.operatorfile import Operator
+
 BAD_CONFIG = 2
 
 config_option = click.option(
     "--config",
     "path",
     envvar="GW_CONFIG",
-    required=True,
     type=click.Path(path_type=Path),
-    help="JSON file with all that the server is told; by default what GW_CONFIG names.",
+    help="The platform's JSON file; by default what GW_CONFIG names. Not needed with --operator.",
+)
+operator_option = click.option(
+    "--operator",
+    "operator_path",
+    type=click.Path(path_type=Path),
+    help="The operator's KDL file: listeners, mappings, pools; away from the platform all that is needed.",
 )
 
 
-def _load(path: Path) -> config.Config:
+def _load(path: Path | None, operator_path: Path | None) -> tuple[config.Config, Operator | None]:
     """The checked configuration; a faulty one ends the program with the key's name."""
     try:
-        return config.load(path)
+        return app.load(path, operator_path)
     except config.ConfigError as error:
-        click.echo(f"shelfhaven: configuration {path}: {error}", err=True)
+        source = "" if operator_path else f" {path}:" if path else ""
+        click.echo(f"shelfhaven: configuration:{source} {error}", err=True)
         sys.exit(BAD_CONFIG)
 
 
@@ -46,15 +56,16 @@
 
 @main.command()
 @config_option
-def serve(path: Path) -> None:
+@operator_option
+def serve(path: Path | None, operator_path: Path | None) -> None:
     """Run one real app server until SIGTERM."""
     # a notice of a new file waits until it can be taken
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    loaded = _load(path)
+    loaded, operator = _load(path, operator_path)
     log = Log(loaded.name)
     logging.getLogger().handlers = [FromLibraries(log)]
     try:
-        asyncio.run(App(loaded, log, path).run())
+        asyncio.run(app.App(loaded, log, path, operator, operator_path).run())
     except OSError as error:
         log.event("cannot_start", error=str(error))
         sys.exit(1)
@@ -62,10 +73,32 @@
 
 @main.command("check-config")
 @config_option
-def check_config(path: Path) -> None:
+@operator_option
+@click.option("--explain", is_flag=True, help="Print every value in force and where it comes from.")
+def check_config(path: Path | None, operator_path: Path | None, explain: bool) -> None:
     """Read and check a configuration without serving."""
-    loaded = _load(path)
-    click.echo(f"{path}: fine; {loaded.name} on {loaded.listen}, classes {', '.join(loaded.classes)}")
+    loaded, operator = _load(path, operator_path)
+    listens = [str(loaded.listen)] if loaded.listen else []
+    listens += [f"{listen.address} ({listen.protocol})" for listen in (operator.listens if operator else ())]
+    names = ", ".join(loaded.classes)
+    click.echo(f"{operator_path or path}: fine; {loaded.name} on {', '.join(listens)}, classes {names}")
+    if explain and operator:
+        for origin in operator.origins:
+            click.echo(f"{origin.path} = {origin.value}  ({origin.origin})")
+    elif explain:
+        click.echo("without an operator's file all values are the platform's, and README's defaults")
+
+
+@main.command()
+@click.option("--seconds", type=click.FloatRange(2, 600), default=12.0, show_default=True)
+@click.option("--load", type=click.FloatRange(0.1, 10), default=2.0, show_default=True,
+              help="Offered load over what the servers can do.")  # fmt: skip
+@click.option("--seed", type=int, default=1, show_default=True)
+def demo(seconds: float, load: float, seed: int) -> None:
+    """Serve stand-in vendors on this machine for some seconds, with one server dying, and print a table."""
+    from shelfhaven.lab import demo as lab
+
+    sys.exit(lab.main(seconds, load, seed))
 
 
 @main.command()
--- a/shelfhaven/backends/agent.py
+++ b/shelfhaven/backends/agent.py
@@ -62,7 +62,7 @@
 class Agent:
     """Actor of the render farm agent."""
 
-    def __init__(self, address: Address, tell: Teller, log: Log) -> None:
+    def __init__(self, address: Address | None, tell: Teller, log: Log) -> None:
         self.address, self.tell, self.log = address, tell, log
         self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log, self._flush)
         self.stream: IOStream | None = None
@@ -95,9 +95,9 @@
             self.stream.write(data)
 
     async def run(self) -> None:
-        """Keep the link open until the actor ends."""
+        """Keep the link open until the actor ends; without an address there is no agent."""
         pause = RETRY_FIRST
-        while not self.ended:
+        while self.address and not self.ended:
             ups = self.ups
             try:
                 await self._link()
@@ -119,7 +119,7 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.sooner.wait(), pause)
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address | None) -> None:
         """The agent is reached at another address from now on; runs and notice numbers go on."""
         if address != self.address:
             self.address = address
@@ -144,6 +144,7 @@
                 self.tell(m.RunnerDown())
 
     async def _link(self) -> None:
+        assert self.address
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.stream = stream
         await stream.connect((self.address.host, self.address.port))
--- /dev/null
+++ b/shelfhaven/backends/uwsgi.py
@@ -0,0 +1,313 @@
+"""Pools of uwsgi servers as a runner: the connections to them, and what the pool's decisions want done.
+
+Owns the connections and what is read from them. It must never decide: which server, how long, whether again
+and what an end means are `routing/runs.py`'s to say. Each attempt has a connection of its own, and what comes
+behind an answer is nobody's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+import time
+import traceback
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from shelfhaven.decision.interface import Outcome
+from shelfhaven.operatorfile import Place, PoolConfig
+from shelfhaven.protocol import http
+from shelfhaven.protocol import uwsgi as wire
+from shelfhaven.routing.runs import Action, End, Over, Run, Runs, Send
+from shelfhaven.server import messages as m
+from shelfhaven.server.descriptors import Descriptors
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox, after_reading
+
+READ = 64 * 1024  # bytes at a time
+UNAVAILABLE = (502, 503, 504)
+
+Teller = Callable[[m.Told], None]
+
+
+def end_of(reply: http.Reply) -> End:
+    """What a reply says of its attempt."""
+    if 200 <= reply.status < 300:
+        return End.SERVED
+    if reply.not_run and reply.status in (429, 503):
+        return End.REFUSED
+    if reply.status in UNAVAILABLE:
+        return End.UNAVAILABLE
+    return End.FAILED if reply.status >= 500 else End.REJECTED
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt in hand and its connection."""
+
+    number: int
+    stream: IOStream
+    sent: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+
+class PoolActor:
+    """One pool."""
+
+    def __init__(
+        self, config: PoolConfig, descriptors: Descriptors, tell: Teller, log: Log, seed: int
+    ) -> None:
+        self.config, self.descriptors, self.tell, self.log = config, descriptors, tell, log
+        self.places: dict[str, Place] = dict(config.servers)
+        self.runs = Runs(config.settings, config.servers, time.monotonic(), seed)
+        self.launches: dict[str, m.Launch] = {}
+        self.bodies: dict[str, bytes] = {}  # results, until their run is told as over
+        self.attempts: dict[int, Attempt] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.alarm: asyncio.TimerHandle | None = None
+
+    def launch(self, launch: m.Launch) -> None:
+        """Run a request at one of the servers."""
+        if launch.call in self.launches:
+            return
+        self.launches[launch.call] = launch
+        now = time.monotonic()
+        run = Run(launch.call, launch.cls, now + launch.left, launch.again, bool(launch.key))
+        self._carry_out(self.runs.launch(now, run))
+
+    def update(self, config: PoolConfig) -> None:
+        """Take a new list of servers and new settings; what is in hand ends where it is."""
+        self.config = config
+        self.places |= config.servers
+        self._carry_out(self.runs.update(time.monotonic(), config.settings, list(config.servers)))
+
+    def drain(self) -> None:
+        """The pool is taken out of the file: its servers get nothing new."""
+        self._carry_out(self.runs.update(time.monotonic(), self.config.settings, []))
+
+    def standing(self) -> dict[str, Any]:
+        """What the pool has in hand and what it can, for the log."""
+        pool, now = self.runs.pool, time.monotonic()
+        servers = Counter(server.standing.value for server in pool.servers.values())
+        return {
+            "in_hand": pool.in_hand(),
+            "room": round(self.runs.room(now), 1),
+            "waiting": len(self.runs.waiting),
+            "further": self.runs.further,
+            "servers": dict(servers),
+        }
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            else:
+                self._over(action)
+        events = self.runs.pool.events
+        for server, standing, why in events:
+            self.log.event("pool_server", pool=self.config.name, at_server=server, standing=standing, why=why)
+        events.clear()
+        self._set_alarm()
+
+    def _set_alarm(self) -> None:
+        if self.alarm:
+            self.alarm.cancel()
+            self.alarm = None
+        now = time.monotonic()
+        if (due := self.runs.next_wake(now)) < math.inf:
+            loop = asyncio.get_running_loop()
+            self.alarm = loop.call_later(max(0.001, due - now), after_reading, self._wake)
+
+    def _wake(self) -> None:
+        self._carry_out(self.runs.wake(time.monotonic()))
+
+    def _over(self, over: Over) -> None:
+        del self.launches[over.call]
+        self.tell(m.RunDone(over.call, over.outcome, over.spent, self.bodies.pop(over.call, b"")))
+
+    # Attempts
+
+    def _send(self, send: Send) -> None:
+        place = self.places[send.server]
+        stream = None
+        if self.descriptors.take_call():
+            try:
+                family = socket.AF_UNIX if isinstance(place, Path) else socket.AF_INET
+                stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+            except OSError as error:
+                self.descriptors.give_call()
+                self.log.event("pool_no_socket", pool=self.config.name, error=str(error))
+        if stream is None:  # told in a turn of its own, as all other ends are
+            asyncio.get_running_loop().call_soon(self._ended, send.attempt, End.UNREACHED)
+            return
+        attempt = self.attempts[send.attempt] = Attempt(send.attempt, stream)
+        loop = asyncio.get_running_loop()
+        attempt.timer = loop.call_later(send.limit, after_reading, self._ran_out, attempt)
+        task = loop.create_task(self._attempt(attempt, place, self._request(send)))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _request(self, send: Send) -> bytes:
+        launch = self.launches[send.call]
+        run, asked = self.config.runs.get(launch.cls), launch.asked
+        method, path = (run.method, run.path) if run else ("POST", f"/{launch.cls}")
+        if asked:
+            method, path = asked.method, asked.path
+        query = asked.query if asked else ""
+        variables = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "REQUEST_URI": f"{path}?{query}" if query else path,
+            "SERVER_PROTOCOL": "HTTP/1.1",
+            "CONTENT_TYPE": asked.content_type if asked else "application/octet-stream",
+            **dict(asked.extra if asked else ()),
+            "HTTP_X_REQUEST_ID": launch.call,
+            "HTTP_X_TIME_LEFT_MS": str(max(1, int(send.limit * 1000))),
+        }
+        if len(self.runs.runs[send.call].tried) > 1:
+            variables["HTTP_X_RETRY"] = "1"
+        if launch.key:
+            variables["HTTP_IDEMPOTENCY_KEY"] = launch.key
+        return wire.encode(variables, launch.body)
+
+    async def _attempt(self, attempt: Attempt, place: Place, request: bytes) -> None:
+        """Connect, send, read the one answer; the end is told in any case."""
+        end, body, cutter = End.UNREACHED, b"", http.Cutter(True, self.config.result_most)
+        try:
+            await self._connect(attempt, place)
+            attempt.sent = True
+            end = End.BROKEN
+            attempt.stream.write(request)
+            reply = None
+            while reply is None:
+                reply = cutter.feed(await attempt.stream.read_bytes(READ, partial=True))
+            end, body = end_of(reply), reply.body
+            if cutter.unread:
+                self.log.event("pool_trailing", pool=self.config.name, server=str(place))
+        except TimeoutError:
+            pass
+        except (OSError, StreamClosedError):
+            clean = attempt.sent and attempt.stream.error is None
+            if clean and (reply := cutter.close()):
+                end, body = end_of(reply), reply.body
+        except http.StreamError as error:
+            self.log.event("pool_stream", pool=self.config.name, server=str(place), error=str(error))
+        except Exception:
+            self.log.event("pool_failed", pool=self.config.name, error=traceback.format_exc(limit=-4))
+        finally:
+            attempt.stream.close()
+            self.descriptors.give_call()
+            self._ended(attempt.number, end, body)
+
+    async def _connect(self, attempt: Attempt, place: Place) -> None:
+        address: Any = str(place) if isinstance(place, Path) else (place.host, place.port)
+        connect = asyncio.ensure_future(attempt.stream.connect(address))
+        await asyncio.wait_for(connect, self.config.settings.connect)
+        if not isinstance(place, Path):
+            attempt.stream.set_nodelay(True)
+
+    def _ran_out(self, attempt: Attempt) -> None:
+        """Told first, so that the close that follows says nothing more."""
+        if attempt.number in self.attempts:
+            self._ended(attempt.number, End.TIMEOUT if attempt.sent else End.UNREACHED)
+            attempt.stream.close()
+
+    def _ended(self, number: int, end: End, body: bytes = b"") -> None:
+        attempt = self.attempts.pop(number, None)
+        if attempt and attempt.timer:
+            attempt.timer.cancel()
+        run = self.runs.by_attempt.get(number)
+        if run and end is End.SERVED:
+            self.bodies[run.call] = body
+        self._carry_out(self.runs.ended(time.monotonic(), number, end))
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self.alarm:
+            self.alarm.cancel()
+        for attempt in list(self.attempts.values()):
+            attempt.stream.close()
+
+
+class Pools:
+    """Actor of all pools; the runner of the classes that they are given."""
+
+    def __init__(
+        self,
+        configs: Mapping[str, PoolConfig],
+        gauges: tuple[str, ...],
+        descriptors: Descriptors,
+        tell: Teller,
+        log: Log,
+        seed: int,
+    ) -> None:
+        self.gauges, self.descriptors, self.tell, self.log, self.seed = gauges, descriptors, tell, log, seed
+        self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log)
+        self.pools: dict[str, PoolActor] = {}
+        self.by_class: dict[str, PoolActor] = {}
+        self.gone: list[PoolActor] = []  # taken out of the file, with runs in hand
+        self.update(configs)
+
+    @property
+    def up(self) -> bool:
+        return True
+
+    def start(self) -> None:
+        """Take up work."""
+        self.tell(m.RunnerUp(True, 0.0))
+
+    def put(self, message: m.Command | m.Sample) -> None:
+        """Take a command."""
+        self.mailbox.put(message)
+
+    def update(self, configs: Mapping[str, PoolConfig]) -> None:
+        """Take the pools of a new file: all that is in hand goes on where it is."""
+        for name in [name for name in self.pools if name not in configs]:
+            pool = self.pools.pop(name)
+            pool.drain()
+            self.gone.append(pool)
+        self.gone = [pool for pool in self.gone if pool.launches]
+        for name, config in configs.items():
+            if name in self.pools:
+                self.pools[name].update(config)
+            else:
+                seed = self.seed + len(self.pools)
+                self.pools[name] = PoolActor(config, self.descriptors, self.tell, self.log, seed)
+        self.by_class = {cls: self.pools[name] for name, c in configs.items() for cls in c.runs}
+
+    def _take(self, message: m.Command | m.Sample) -> None:
+        match message:
+            case m.Launch():
+                pool = self.by_class.get(message.cls)
+                if pool:
+                    pool.launch(message)
+                else:
+                    self.tell(m.RunDone(message.call, Outcome.CONNECT_FAILED, 0.0))
+            case m.Sample():
+                self.tell(m.Sampled(message.tag, self._sampled()))
+            case m.Deliver() | m.Forgo():  # runs here ask for no calls
+                self.log.event("no_word_for", action=type(message).__name__)
+
+    def _sampled(self) -> tuple[float, ...]:
+        """The gauges in the order of the settings."""
+        now = time.monotonic()
+        room = sum(pool.runs.room(now) for pool in self.pools.values())
+        in_hand = sum(pool.runs.pool.in_hand() for pool in self.pools.values())
+        told = {"runs_room": room, "cpu_busy": min(1.0, in_hand / max(1.0, room))}
+        return tuple(told.get(name, 0.0) for name in self.gauges)
+
+    def load_now(self) -> dict[str, Any]:
+        """What each pool has in hand, for the log."""
+        return {name: pool.standing() for name, pool in self.pools.items()}
+
+    def end(self) -> None:
+        """Close all connections."""
+        for pool in (*self.pools.values(), *self.gone):
+            pool.close()
--- a/shelfhaven/config.py
+++ b/shelfhaven/config.py
@@ -192,10 +192,10 @@
     """All that a real app server is told."""
 
     name: str
-    listen: Address
-    agent: Address
-    members: Address
-    ledger: Address | None  # servers of the last tier have none
+    listen: Address | None  # these four are the platform's; away from it there are none
+    agent: Address | None
+    members: Address | None
+    ledger: Address | None  # nor have servers of the last tier
     seed: int
     stop: float  # seconds from the notice to leave until the process is ended
     limits: Limits
@@ -224,16 +224,24 @@
         yield path, _text(value)
 
 
-def _address(data: dict[str, Any], key: str) -> Address:
-    host, colon, port = str(data.get(key, "")).rpartition(":")
+def parse_address(text: str) -> Address:
+    """An address in numbers with a port. Raises ValueError."""
+    host, colon, port = text.rpartition(":")
     numbers = host.split(".")
     if not colon or len(numbers) != 4 or not all(n.isdecimal() and int(n) < 256 for n in numbers):
-        raise ConfigError(f"{key}: not an address in numbers with a port")
+        raise ValueError("not an address in numbers with a port")
     if not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"{key}: {port!r} is not a port")
+        raise ValueError(f"{port!r} is not a port")
     return Address(host, int(port))
 
 
+def _address(data: dict[str, Any], key: str) -> Address:
+    try:
+        return parse_address(str(data.get(key, "")))
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
 def _positive(data: dict[str, Any], key: str, default: float, prefix: str = "") -> float:
     value = data.get(key, default)
     if type(value) not in (int, float) or not math.isfinite(value) or value <= 0:
--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -56,6 +56,7 @@
 
 TICK_TOKEN = 1 << 40  # timer tokens: below it a request's due time, from it on its call's retry
 RETRY_TOKEN = 1 << 41
+UNPLACED = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED)  # of a run: it never began
 
 
 def _sane(value: float) -> float:
@@ -337,6 +338,7 @@
             self.cap = min(self.cap * 1.1, self._crowd())
         elif busy >= IDLE_CORES:
             self.cap = max(float(self.settings.cores), self.cap * 0.95)
+        self.cap = max(1.0, min(self.cap, gauges.get("runs_room", math.inf)))  # more waits out of order
 
     def _close_idle(self) -> None:
         """Close connections at once where a fair caller comes back long after callers would close them.
@@ -364,7 +366,7 @@
         s = self.settings
         if s.cold and s.warm_up > 0:
             self.warmth = min(1.0, s.cold_from + (1 - s.cold_from) * (now - self.started_at) / s.warm_up)
-        if self.count[State.RUNNING] < s.cores:  # fewer runs may all be long ones; that is no sign
+        if self.count[State.RUNNING] < min(s.cores, int(self.cap)):  # fewer may all be long; that is no sign
             self.full_since = now
         quiet = now - max(self.progress_at, self.full_since)
         self.stalled = quiet > max(STALL_MIN, STALL_RUNS * max(self.mean_run))
@@ -510,6 +512,9 @@
             return
         if event.outcome is i.Outcome.OK and request.state in (State.RUNNING, State.CALLING):
             self._learn(request, _sane(event.spent))
+        if event.outcome in UNPLACED and request.state == State.RUNNING:
+            self._unplaced(request)
+            return
         if event.outcome in (i.Outcome.CANCELLED, i.Outcome.MOOT) and not request.answered:
             self.out.append(i.Fail(request.id))  # its caller left unheard, or it had ended; harmless then
         if request.state != State.REUSING:
@@ -517,6 +522,18 @@
             self.moved += 1
         self._end(request)
 
+    def _unplaced(self, request: Request) -> None:
+        """A run that found no server never began: turned away like any other, its key free for a later try.
+
+        Guards against pools of servers that are all full or gone. It can do harm where a runner is wrong.
+        """
+        request.ran = False
+        self._wait_sample(WAIT_MOST)
+        if request.answered:
+            self._end(request)
+        else:
+            self._refuse(request, stay=False)
+
     def _learn(self, request: Request, spent: float) -> None:
         cls = request.cls
         self.mean_run[cls] += GAP_GAIN * (spent - self.mean_run[cls])
--- a/shelfhaven/fronts/connection.py
+++ b/shelfhaven/fronts/connection.py
@@ -39,6 +39,7 @@
     """Actor of one connection; a front of the core."""
 
     within = MESSAGE_WITHIN
+    unread_most = 0.0  # seconds in which an answer must have been taken; 0: for as long as the peer likes
 
     def __init__(self, stream: IOStream, tell: ToCore, log: Log) -> None:
         self.stream, self.tell, self.log = stream, tell, log
@@ -51,6 +52,7 @@
         self.used = time.monotonic()  # last message or answer
         self.waits_since = self.used  # a message is awaited: from the start, then from its first byte
         self.silent = True  # no whole message came yet
+        self.parts = False  # it ends by itself, once what it was owed is out
         self.done = asyncio.Event()  # nothing is owed on a broken connection any more
 
     @property
@@ -88,7 +90,8 @@
                     await self.stream.write(b"")
             await self.done.wait()
             await self.stream.write(b"")  # what is on its way gets out before the close
-        except (OSError, StreamClosedError):
+            await self._part()
+        except (OSError, StreamClosedError, TimeoutError):
             pass
         finally:
             self.stream.close()
@@ -96,6 +99,9 @@
                 self.tell(m.Cancel(self, ref))
             self.open.clear()
 
+    async def _part(self) -> None:  # noqa: B027 - nothing to do is the usual case
+        """What is done on a stream that cannot be read before it is closed."""
+
     def _read(self, data: bytes) -> None:
         """Take the messages in new bytes; after one that cannot be read the rest is passed over."""
         if self.broken:
@@ -105,6 +111,7 @@
         try:
             self._feed(data)
         except Unreadable as error:
+            self.parts = True
             self.end_broken(error)
         except Exception:
             self.end_broken(Unreadable(traceback.format_exc(limit=-4)))
@@ -139,6 +146,10 @@
         """Whether a whole message has been awaited for too long, from the first byte or from the start."""
         return (self.silent or self.unread) and now - self.waits_since > self.within
 
+    def stuck(self, now: float) -> bool:
+        """Whether an answer has not been taken for too long."""
+        return bool(self.unread_most) and self.stream.writing() and now - self.used > self.unread_most
+
     def _take(self, answer: m.Answer) -> None:
         if answer.ref not in self.open:  # given up meanwhile
             return
@@ -161,5 +172,5 @@
         """A connection that cannot be read any more is closed once what it was owed is sent."""
         if self.broken and not self.open and not self.outgoing:
             self.done.set()
-            if not self.stream.closed():  # it may still be read from, in vain
+            if not self.parts and not self.stream.closed():  # it may still be read from, in vain
                 self.stream.write(b"").add_done_callback(lambda _: self.stream.close())
--- a/shelfhaven/fronts/listener.py
+++ b/shelfhaven/fronts/listener.py
@@ -162,6 +162,9 @@
         for connection in list(self.connections):
             if connection.stalls(now):
                 connection.end_broken(Unreadable("no whole message in time", TIMED_OUT))
+            elif connection.stuck(now):
+                self.log.event("answer_not_taken", listener=str(self.address))
+                connection.stream.close()
         self.watch = asyncio.get_running_loop().call_later(WATCH, after_reading, self._watch)
 
     def _adopt(self, accepted: socket.socket, peer: str) -> None:
--- /dev/null
+++ b/shelfhaven/lab/callers.py
@@ -0,0 +1,154 @@
+"""Stand-ins of those who ask: a router's connection (JSON-RPC) and a gateway's requests (uwsgi).
+
+Owns their sockets and what came on them. It must never judge an answer: checker.py does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from shelfhaven.config import Address
+from shelfhaven.protocol import jsonrpc, uwsgi
+
+SOON = 10.0  # seconds; a step that takes longer has failed
+
+
+async def until(true: Callable[[], Any]) -> None:
+    """Wait for something to become true."""
+    async with asyncio.timeout(SOON):
+        while not true():
+            await asyncio.sleep(0.002)
+
+
+class Router:
+    """One connection of a router."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.cutter = jsonrpc.Cutter()
+        self.got: list[dict[str, Any]] = []
+        self.ended = False
+        self.awaited: dict[int, asyncio.Future[dict[str, Any]]] = {}
+        self.task = asyncio.get_running_loop().create_task(self._read())
+
+    async def _read(self) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await self.reader.read(65536):
+                messages = [orjson.loads(body) for body in self.cutter.feed(data)]
+                self.got += messages
+                for message in messages:
+                    awaited = self.awaited.pop(message.get("id") or 0, None)
+                    if awaited and not awaited.done():
+                        awaited.set_result(message)
+        self.ended = True
+
+    def send(self, message: Any) -> None:
+        body = message if isinstance(message, bytes) else orjson.dumps(message)
+        self.writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    def request(self, id_: int, method: str = "look", **changes: Any) -> str:
+        """Send a request; the name of the try is returned."""
+        params = {
+            "call": f"{id_:016x}",
+            "recv": int(time.time() * 1000),
+            "src": 1,
+            "org": "one",
+            "heap": 10.0,
+            "crit": 0.5,
+            "body": base64.b64encode(b"ask").decode(),
+        } | changes
+        self.send({"jsonrpc": "2.0", "id": id_, "method": method, "params": params})
+        return str(params["call"])
+
+    def of(self, id_: int) -> list[dict[str, Any]]:
+        return [message for message in self.got if message.get("id") == id_]
+
+    async def answer(self, id_: int) -> dict[str, Any]:
+        await until(lambda: self.of(id_))
+        return self.of(id_)[0]
+
+    async def answered(self, id_: int) -> dict[str, Any]:
+        """The answer to a request just sent, without looking through all that came."""
+        future: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
+        self.awaited[id_] = future
+        return await future
+
+    def told_to_leave(self) -> bool:
+        return any(message.get("method") == "shutdown" for message in self.got)
+
+    async def close(self) -> None:
+        self.writer.close()
+        await self.task
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a gateway was answered; status 0: the connection ended with no whole answer."""
+
+    status: int
+    fields: Mapping[str, str]
+    body: bytes
+
+    @property
+    def not_run(self) -> bool:
+        """Whether it promises that nothing ran."""
+        return self.fields.get("x-not-run") == "1"
+
+    @property
+    def advice(self) -> float:
+        """Seconds to stay away."""
+        return float(self.fields.get("x-retry-after-ms", 0)) / 1000
+
+
+LOST = Reply(0, {}, b"")
+
+
+async def connect(place: Address | Path) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection to a listener of either kind."""
+    if isinstance(place, Path):
+        return await asyncio.open_unix_connection(str(place))
+    return await asyncio.open_connection(place.host, place.port)
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """One answer."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.rstrip().split("\r\n")
+        fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        return Reply(int(first.split()[1]), fields, body)
+    except (OSError, asyncio.IncompleteReadError, ValueError):
+        return LOST
+
+
+def variables(method: str, path: str, **more: str) -> dict[str, str]:
+    """The variables that a gateway sends."""
+    path, _, query = path.partition("?")
+    return {
+        "REQUEST_METHOD": method, "REQUEST_URI": path, "PATH_INFO": path, "QUERY_STRING": query,
+        "SERVER_PROTOCOL": "HTTP/1.1", "SERVER_NAME": "gateway", "SERVER_PORT": "80",
+        "REMOTE_ADDR": "127.0.0.1", "HTTP_HOST": "gateway", "CONTENT_TYPE": "text/plain", **more,
+    }  # fmt: skip
+
+
+async def ask(place: Address | Path, method: str, path: str, body: bytes = b"", **more: str) -> Reply:
+    """One request of a gateway, on a connection of its own."""
+    try:
+        reader, writer = await connect(place)
+    except OSError:
+        return LOST
+    writer.write(uwsgi.encode(variables(method, path, **more), body))
+    try:
+        return await read_reply(reader)
+    finally:
+        writer.close()
--- /dev/null
+++ b/shelfhaven/lab/demo.py
@@ -0,0 +1,265 @@
+"""The demo: a node between stand-in vendors, gateways and routers, beyond capacity, one server dying.
+
+Owns the scenario and its table. It must never judge by the node's own account: the table comes from the
+callers' and the servers' logs, the rules from checker.py.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import os
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import click
+
+from shelfhaven.config import Address
+from shelfhaven.lab import checker
+from shelfhaven.lab.callers import LOST, Reply, Router, ask, connect
+from shelfhaven.lab.checker import Kind, Try
+from shelfhaven.lab.vendor import Ran, Vendor
+
+SERVERS, WORKERS, MEAN = 4, 4, 0.1  # seconds of a run
+CAPACITY = SERVERS * WORKERS / MEAN  # requests a second
+TOPUPS = 0.3  # part of requests that are top-ups
+REPEATED = 0.3  # part of top-ups that are repeated over the other protocol, answered or not
+AIMS = {"balance": (0.5, 1.5), "topup": (2.0, 4.0)}  # aim and deadline, as in the file below
+ROUTERS = 4
+DYING_AT, BACK_AT = 0.4, 0.7  # of the time
+FILE = """
+node "demo" stop="5s"
+work {{
+    at-once {at_once}
+    callers 8
+    class "balance" aim="500ms" deadline="1500ms" worth=1 repeat="safe"
+    class "topup" aim="2s" deadline="4s" worth=3 repeat="keyed" window="8s"
+    tenant "retail" share=0.6
+    tenant "bank" share=0.4
+}}
+mapping "vendors" {{
+    route "topup" method="POST" path="/topup"
+    route "balance" method="GET" path="/balance/*"
+    tenant variable="HTTP_X_TENANT" default="retail"
+    caller variable="HTTP_X_GATEWAY"
+}}
+listen "gateways" protocol="uwsgi" address="{gateways}" mapping="vendors"
+listen "routers" protocol="jsonrpc" address="{routers}"
+pool "vendors" {{
+{servers}
+    runs "topup" path="/topup"
+    runs "balance" method="GET" path="/balance/any"
+}}
+"""
+
+
+def free_port() -> int:
+    """A loopback port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Load:
+    """Callers of both protocols; each try and what it was answered is kept."""
+
+    def __init__(self, gateways: Address, routers: Address, seed: int) -> None:
+        self.gateways, self.routers = gateways, routers
+        self.random = Random(seed)
+        self.tries: list[Try] = []
+        self.links: list[Router] = []
+        self.names = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self) -> None:
+        """Open the routers' connections."""
+        for _ in range(ROUTERS):
+            self.links.append(Router(*await connect(self.routers)))
+
+    def begin(self) -> None:
+        """One request, over either protocol; some top-ups are repeated over the other."""
+        self.names += 1
+        name = f"r{self.names}"
+        topup = self.random.random() < TOPUPS
+        protocols = ["uwsgi", "jsonrpc"]
+        self.random.shuffle(protocols)
+        tenant = self.random.choice(["retail", "bank"])
+        self._spawn(self._one(protocols[0], name, topup, tenant))
+        if topup and self.random.random() < REPEATED:
+            self._spawn(self._one(protocols[1], name, topup, tenant, self.random.uniform(0.0, 3.0)))
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _one(self, protocol: str, name: str, topup: bool, tenant: str, after: float = 0.0) -> None:
+        if after:
+            await asyncio.sleep(after)
+        cls = "topup" if topup else "balance"
+        path = "/topup" if topup else f"/balance/{name}" if protocol == "uwsgi" else "/balance/any"
+        body = name.encode() if topup or protocol == "jsonrpc" else b""
+        aim, deadline = AIMS[cls]
+        now = time.time()
+        one = Try(protocol, cls, tenant, name if topup else "", body, path, now, now + deadline, now + aim)
+        self.tries.append(one)
+        if protocol == "uwsgi":
+            await self._gateway(one)
+        else:
+            await self._router(one)
+
+    async def _gateway(self, one: Try) -> None:
+        more = {"HTTP_X_TENANT": one.tenant, "HTTP_X_GATEWAY": f"g{self.random.randrange(4)}"}
+        if one.key:
+            more["HTTP_IDEMPOTENCY_KEY"] = one.key
+        reply = LOST
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(one.due - one.sent + 1):
+                reply = await ask(self.gateways, "POST" if one.key else "GET", one.path, one.body, **more)
+        if reply.status:
+            one.answered(time.time(), kind_of(reply), reply.body, reply.advice)
+
+    async def _router(self, one: Try) -> None:
+        link = self.random.choice(self.links)
+        ref = len(self.tries)  # one that this link has not seen: tries are numbered over all links
+        params = {"src": self.links.index(link) + 1, "org": one.tenant, "call": f"{ref:016x}"}
+        if one.key:
+            params["dedupe"] = one.key
+        link.request(ref, one.cls, body=base64.b64encode(one.body).decode(), **params)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(one.due - one.sent + 1):
+                message = await link.answered(ref)
+                error = message.get("error", {})
+                advice = error.get("data", {}).get("pushback", 0.0) / 1000
+                body = base64.b64decode(message.get("result", {}).get("body", ""))
+                kinds = {0: Kind.SERVED, -32000: Kind.REFUSED, -32001: Kind.FAILED}
+                one.answered(time.time(), kinds.get(error.get("code", 0), Kind.INVALID), body, advice)
+
+    async def over(self) -> None:
+        """Wait until every try has its answer, or its time is long over."""
+        while self.tasks:
+            await asyncio.gather(*self.tasks)
+
+
+def kind_of(reply: Reply) -> Kind:
+    """What a status says."""
+    if reply.status == 200:
+        return Kind.SERVED
+    if reply.status == 503 and reply.not_run:
+        return Kind.REFUSED
+    return Kind.FAILED if reply.status in (502, 504) else Kind.INVALID
+
+
+def table(tries: list[Try], runs: list[Ran]) -> str:
+    """What was asked and answered, by protocol."""
+    rows = [f"{'':10}{'asked':>8}{'in time':>9}{'late':>7}{'refused':>9}{'with advice':>13}{'failed':>8}"]
+    for protocol in ("uwsgi", "jsonrpc"):
+        mine = [one for one in tries if one.protocol == protocol]
+        kinds: Counter[str] = Counter()
+        for one in mine:
+            for at, kind, _, advice in one.answers:
+                kinds["late" if kind is Kind.SERVED and at > one.aim else kind.value] += 1
+                kinds["advice"] += kind is Kind.REFUSED and advice > 0
+        rows.append(
+            f"{protocol:10}{len(mine):8}{kinds['served']:9}{kinds['late']:7}{kinds['refused']:9}"
+            f"{kinds['advice']:13}{kinds['failed']:8}"
+        )
+    keyed: Counter[bytes] = Counter(run.body for run in runs if run.key)
+    rows.append(f"run twice: {sum(count > 1 for count in keyed.values())}")
+    return "\n".join(rows)
+
+
+async def play(
+    seconds: float, load: float, seed: int, progress: bool = True
+) -> tuple[list[Try], list[Ran], int]:
+    """The day of the demo; the tries, the runs and the node's exit code."""
+    runs: list[Ran] = []
+    vendors = [Vendor(f"vendor-{n}", runs, WORKERS, MEAN, seed + n) for n in range(SERVERS)]
+    for vendor in vendors:
+        await vendor.start()
+    gateways, routers = (Address("127.0.0.1", free_port()) for _ in range(2))
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "operator.kdl"
+        servers = "\n".join(f'    server "{vendor.address}"' for vendor in vendors)
+        path.write_text(
+            FILE.format(gateways=gateways, routers=routers, servers=servers, at_once=SERVERS * WORKERS)
+        )
+        command = [sys.executable, "-m", "shelfhaven", "serve", "--operator", str(path)]
+        with (Path(folder) / "log").open("w+b") as log:
+            env = {key: value for key, value in os.environ.items() if key != "GW_CONFIG"}
+            node = await asyncio.create_subprocess_exec(*command, stderr=log, env=env)
+            try:
+                callers = Load(gateways, routers, seed)
+                if not await _up(routers, node):
+                    log.seek(0)
+                    raise RuntimeError(f"the node did not start: {log.read().decode()}")
+                await callers.open()
+                await _drive(callers, vendors, seconds, load, seed, progress)
+                node.terminate()
+                code = await node.wait()
+            finally:
+                if node.returncode is None:
+                    node.kill()
+                    await node.wait()
+                for vendor in vendors:
+                    vendor.stop()
+    return callers.tries, runs, code
+
+
+async def _up(address: Address, node: asyncio.subprocess.Process) -> bool:
+    """Whether the node listens, within some seconds and while it lives."""
+    end = time.monotonic() + 10
+    while node.returncode is None and time.monotonic() < end:
+        with contextlib.suppress(OSError):
+            _, writer = await connect(address)
+            writer.close()
+            return True
+        await asyncio.sleep(0.05)
+    return False
+
+
+async def _drive(
+    callers: Load, vendors: list[Vendor], seconds: float, load: float, seed: int, progress: bool
+) -> None:
+    """Requests at random times, from the start to the end, whatever is answered meanwhile."""
+    random, start = Random(seed), time.monotonic()
+    due, shown, dead = 0.0, 0, False
+    while due < seconds:
+        await asyncio.sleep(max(0.0, start + due - time.monotonic()))
+        callers.begin()
+        due += random.expovariate(load * CAPACITY)
+        part = due / seconds
+        if DYING_AT < part < BACK_AT and not dead:
+            dead = True
+            vendors[-1].stop()
+        elif part > BACK_AT and dead:
+            dead = False
+            await vendors[-1].start()
+        if progress and int(due) > shown:
+            shown = int(due)
+            click.echo(f"\r{shown} of {seconds:g} s, {len(callers.tries)} asked", nl=False, err=True)
+    await callers.over()
+    if progress:
+        click.echo(err=True)
+
+
+def main(seconds: float, load: float, seed: int) -> int:
+    """Play and print; 1 if a rule was broken."""
+    click.echo(
+        f"{SERVERS} stand-in servers that can do {CAPACITY:.0f} requests a second, {load:g} times as many "
+        f"asked; one server dies at {DYING_AT:.0%} of the time and is back at {BACK_AT:.0%}"
+    )
+    tries, runs, code = asyncio.run(play(seconds, load, seed))
+    click.echo(table(tries, runs))
+    found = checker.broken(tries, runs)
+    for line in found[:20]:
+        click.echo(line)
+    click.echo(f"rules broken: {len(found)}; the node ended with code {code}")
+    return 1 if found or code else 0
--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -1,15 +1,18 @@
-"""Codec of the calls to the ledger: HTTP/1.1 requests out, responses in.
+"""Codec of HTTP/1.1 as far as it is spoken here: calls to the ledger, and answers of and to uwsgi peers.
 
-Owns the encoding of a call and the cutting and decoding of its reply. It must never do I/O, follow
-redirects or say what a status means for a request.
+Owns the encoding of a call and of an answer, and the cutting and decoding of a reply. It must never do I/O,
+follow redirects or say what a status means for a request.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 MAX_HEAD = 8 * 1024  # bytes
 MAX_BODY = 1 << 20  # bytes
+UNKNOWN = -1  # length of a body that ends with its connection
 
 
 class StreamError(Exception):
@@ -23,12 +26,17 @@
     status: int
     untouched: bool
     body: bytes
+    not_run: bool = False  # it says that nothing ran
 
 
 class Cutter:
-    """Cuts the one reply out of a connection's bytes; what comes after it is nobody's."""
+    """Cuts the one reply out of a connection's bytes; what comes after it is nobody's.
 
-    def __init__(self) -> None:
+    `to_close`: a reply without a length ends with its connection, as those of uwsgi servers may.
+    """
+
+    def __init__(self, to_close: bool = False, body_most: int = MAX_BODY) -> None:
+        self.to_close, self.body_most = to_close, body_most
         self.unread = bytearray()
         self.head: tuple[int, dict[bytes, bytes]] | None = None
 
@@ -49,13 +57,26 @@
             self.head = _head(bytes(self.unread[:end]))
             del self.unread[: end + 4]
         status, fields = self.head
-        length = _length(status, fields)
+        length = _length(status, fields, self.body_most, self.to_close)
+        if length == UNKNOWN:
+            if len(self.unread) > self.body_most:
+                raise StreamError("a body that is too large")
+            return None
         if len(self.unread) < length:
             return None
         body = bytes(self.unread[:length])
         del self.unread[:length]
+        return self._reply(status, fields, body)
+
+    def _reply(self, status: int, fields: dict[bytes, bytes], body: bytes) -> Reply:
         self.head = None
-        return Reply(status, fields.get(b"x-untouched") == b"1", body)
+        return Reply(status, fields.get(b"x-untouched") == b"1", body, fields.get(b"x-not-run") == b"1")
+
+    def close(self) -> Reply | None:
+        """The reply that ends with its connection, if the head is whole and told no length."""
+        if self.head is None or _length(*self.head, self.body_most, self.to_close) != UNKNOWN:
+            return None
+        return self._reply(*self.head, bytes(self.unread))
 
 
 def _head(head: bytes) -> tuple[int, dict[bytes, bytes]]:
@@ -76,13 +97,15 @@
     return int(digits), fields
 
 
-def _length(status: int, fields: dict[bytes, bytes]) -> int:
+def _length(status: int, fields: dict[bytes, bytes], most: int, to_close: bool) -> int:
     if status < 200 or status in (204, 304):
         return 0
     value = fields.get(b"content-length")
-    if b"transfer-encoding" in fields or value is None:
+    if b"transfer-encoding" in fields or (value is None and not to_close):
         raise StreamError("a body without a length")
-    if not value.isdigit() or len(value) > 9 or int(value) > MAX_BODY:
+    if value is None:
+        return UNKNOWN
+    if not value.isdigit() or len(value) > 9 or int(value) > most:
         raise StreamError("a length that is no length or too large")
     return int(value)
 
@@ -94,3 +117,14 @@
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
+
+
+PHRASES = {status.value: status.phrase for status in HTTPStatus}
+
+
+def answer(status: int, fields: Iterable[tuple[str, str]], body: bytes, close: bool) -> bytes:
+    """One answer, with its length; `close` says that nothing follows on its connection."""
+    lines = [f"HTTP/1.1 {status} {PHRASES.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in fields]
+    lines += [f"Content-Length: {len(body)}", f"Connection: {'close' if close else 'keep-alive'}"]
+    return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + body
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -15,7 +15,7 @@
 from dataclasses import fields, replace
 from enum import Enum
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from shelfhaven import config
 from shelfhaven.backends.agent import Agent
@@ -29,6 +29,11 @@
 from shelfhaven.server.log import Log
 from shelfhaven.server.members import Members
 
+if TYPE_CHECKING:  # imported only where an operator's file is given
+    from shelfhaven.backends.uwsgi import Pools
+    from shelfhaven.operatorfile import Listen, Operator
+    from shelfhaven.routing.mapping import Mapping
+
 LISTEN_TRIES, LISTEN_PAUSE = 30, 0.1  # seconds between tries
 CLOSING_PART = 0.16  # of the time to leave: what is left when the listener is closed
 CLOSING_MOST = 0.8  # seconds
@@ -58,28 +63,92 @@
 }
 
 
+def load(path: Path | None, operator_path: Path | None) -> tuple[Config, Operator | None]:
+    """Read and check all files of a node: all are good, or ConfigError is raised."""
+    platform = config.load(path) if path else None
+    if operator_path:
+        from shelfhaven import operatorfile
+
+        return operatorfile.load(operator_path, platform)
+    if platform is None:
+        raise config.ConfigError("neither a platform's configuration nor an operator's file is given")
+    return platform, None
+
+
 class App:
-    """One real app server."""
+    """One real app server.
 
-    def __init__(self, first: Config, log: Log, path: Path | None = None) -> None:
+    `path` is the platform's configuration file, None away from the platform; `operator` what the operator's
+    file at `operator_path` tells, None without one. All are read again at SIGHUP.
+    """
+
+    def __init__(
+        self,
+        first: Config,
+        log: Log,
+        path: Path | None = None,
+        operator: Operator | None = None,
+        operator_path: Path | None = None,
+    ) -> None:
         self.config, self.log, self.path = first, log, path
+        self.operator, self.operator_path = operator, operator_path
         self.phase = Phase.STARTING
-        descriptors = Descriptors(first.limits.sockets)
+        self.descriptors = Descriptors(first.limits.sockets)
         self.core = Core(first, log)
         self.agent = Agent(first.agent, self.core.put, log)
-        self.ledger = Ledger(first.ledger, descriptors, self.core.put, log)
+        self.ledger = Ledger(first.ledger, self.descriptors, self.core.put, log)
         self.members = Members(first.members, first.name, log)
-        names = Names(first)
-        self.listener = Listener(
-            first.listen, descriptors, lambda s, _: RouterConnection(s, names, self.core.put, log), log
-        )
-        self.listeners = [self.listener]
-        runners = [self.agent] * len(first.classes)
-        self.core.connect(runners, self.ledger, self.members, Fronts(self.listeners))
+        self.pools: Pools | None = None
+        self.mappings: dict[str, Mapping] = {}
+        self.listeners: list[Listener] = []
+        if first.listen:
+            self.listeners.append(self._routers(first.listen, 0))
+        if operator:
+            self._add(operator)
+        self.core.connect(self._runners(), self.ledger, self.members, Fronts(self.listeners))
         self.leave = asyncio.Event()
         self.stop_at = self.closing = 0.0
         self.look: asyncio.TimerHandle | None = None
 
+    @property
+    def listener(self) -> Listener:
+        """The first listener: the routers' on the platform."""
+        return self.listeners[0]
+
+    def _routers(self, address: config.Address | Path, most: int) -> Listener:
+        names = Names(self.config)
+        tell, log = self.core.put, self.log
+        make = lambda stream, _: RouterConnection(stream, names, tell, log)  # noqa: E731
+        return Listener(address, self.descriptors, make, log, most)
+
+    def _add(self, operator: Operator) -> None:
+        """What the operator's file brings beside the platform's peers."""
+        from shelfhaven.backends.uwsgi import Pools
+        from shelfhaven.routing.mapping import Mapping
+
+        first, log = self.config, self.log
+        self.mappings = {name: Mapping(rules) for name, rules in operator.mappings.items()}
+        for listen in operator.listens:
+            if listen.protocol == "jsonrpc":
+                self.listeners.append(self._routers(listen.address, listen.most))
+            else:
+                self.listeners.append(self._gateways(listen))
+        if operator.pools:
+            gauges = first.settings.gauges
+            self.pools = Pools(operator.pools, gauges, self.descriptors, self.core.put, log, first.seed)
+
+    def _gateways(self, listen: Listen) -> Listener:
+        from shelfhaven.fronts.uwsgi import GatewayConnection
+
+        mapping, tell, log = self.mappings[listen.mapping], self.core.put, self.log
+        make = lambda stream, peer: GatewayConnection(stream, peer, listen, mapping, tell, log)  # noqa: E731
+        return Listener(listen.address, self.descriptors, make, log, listen.most)
+
+    def _runners(self) -> list[m.Runner]:
+        """By class: the pool that the operator's file gives it, else the agent."""
+        pools = self.pools
+        return [pools if pools and cls in pools.by_class else self.agent for cls in self.config.classes]
+
     def _enter(self, phase: Phase) -> None:
         if phase not in NEXT[self.phase]:
             raise RuntimeError(f"{self.phase.value} is not followed by {phase.value}")
@@ -98,6 +167,8 @@
         loop.set_exception_handler(self._unhandled)
         await self._listen()
         self.members.start()
+        if self.pools and not self.config.agent:
+            self.pools.start()
         link = loop.create_task(self.agent.run())
         gc.freeze()  # what the start made stays; collections need not walk it
         self._enter(Phase.SERVING)
@@ -110,6 +181,8 @@
         self.agent.end()
         self.ledger.end()
         self.members.end()
+        if self.pools:
+            self.pools.end()
         link.cancel()
         await asyncio.gather(link, return_exceptions=True)
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # the loop's end gives its handler back
@@ -119,7 +192,10 @@
         """Log what this server believes of its load, and how late the loop is."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        here = {"late_ms": round((now - due) * 1000, 1), "connections": len(self.listener.connections)}
+        connections = sum(len(listener.connections) for listener in self.listeners)
+        here: dict[str, Any] = {"late_ms": round((now - due) * 1000, 1), "connections": connections}
+        if self.pools:
+            here["pools"] = self.pools.load_now()
         self.log.event("load", **here, calls=len(self.ledger.open), **self.core.load_now())
         self.look = loop.call_at(now + LOOK, self._look, now + LOOK)
 
@@ -130,10 +206,14 @@
         self.log.event("unhandled", message=context.get("message"), error=trace)
 
     async def _listen(self) -> None:
-        """Listen; a process that had the address before may need a moment to be gone."""
+        """Listen; a process that had an address before may need a moment to be gone."""
+        for listener in self.listeners:
+            await self._listen_on(listener)
+
+    async def _listen_on(self, listener: Listener) -> None:
         for tries_left in range(LISTEN_TRIES - 1, -1, -1):
             try:
-                return self.listener.start()
+                return listener.start()
             except OSError as error:
                 if not tries_left or error.errno != errno.EADDRINUSE:
                     raise
@@ -144,22 +224,45 @@
 
         Names, limits and settings belong to the process: they change with its next start.
         """
-        if self.path is None:
+        if self.path is None and self.operator_path is None:
             return
         try:
-            new = config.load(self.path)
+            new, operator = load(self.path, self.operator_path)
         except config.ConfigError as error:
             self.log.event("reload_refused", error=str(error))
             return
         moved = [key for key in PEERS if getattr(new, key) != getattr(self.config, key)]
         fixed = [f.name for f in fields(new) if f.name not in (*PEERS, "seed")]
         kept = [key for key in fixed if getattr(new, key) != getattr(self.config, key)]
+        if operator and self.operator:
+            kept += self._update(operator)
         self.config = replace(self.config, **{key: getattr(new, key) for key in PEERS})
         self.log.event("reloaded", moved=moved, kept_until_restart=kept)
         self.agent.move(new.agent)
         self.ledger.move(new.ledger)
         self.members.move(new.members)
 
+    def _update(self, operator: Operator) -> list[str]:
+        """Take mappings and pools of a new operator's file; what needs a restart is named."""
+        assert self.operator
+        old, kept = self.operator, []
+        if operator.listens != old.listens:
+            kept.append("listen")
+        for name, mapping in self.mappings.items():
+            rules = operator.mappings.get(name)
+            if rules and rules.tenants == mapping.settings.tenants and rules.keyed == mapping.settings.keyed:
+                mapping.update(rules)
+            elif rules != mapping.settings:
+                kept.append(f"mapping {name}")
+        classes = [{cls for pool in o.pools.values() for cls in pool.runs} for o in (old, operator)]
+        if self.pools and classes[0] == classes[1]:
+            self.pools.update(operator.pools)
+        elif old.pools != operator.pools:  # a class would change its runner
+            kept.append("pool")
+            operator = replace(operator, pools=old.pools)
+        self.operator = operator
+        return kept
+
     def notice(self) -> None:
         """The notice to leave; a second one changes nothing."""
         if self.leave.is_set():
@@ -173,18 +276,24 @@
     async def _drain(self) -> None:
         """Go on answering, new connections too, until the end is near."""
         self._enter(Phase.DRAINING)
-        self.listener.leave()
+        for listener in self.listeners:
+            listener.leave()
         await asyncio.sleep(max(0.0, self.stop_at - self.closing - time.monotonic()))
 
     async def _close(self) -> None:
         """Close the listener, let what crosses that be answered, and end the connections that remain."""
         self._enter(Phase.CLOSING)
-        self.listener.close()
+        for listener in self.listeners:
+            listener.close()
         quiet_since = time.monotonic()
-        while self.listener.connections and (now := time.monotonic()) < self.stop_at - WATCH:
-            if self.listener.open_requests():
+        while self._connected() and (now := time.monotonic()) < self.stop_at - WATCH:
+            if sum(listener.open_requests() for listener in self.listeners):
                 quiet_since = now
             elif now - quiet_since > CROSSING:
                 break
             await asyncio.sleep(WATCH)
-        self.listener.end()
+        for listener in self.listeners:
+            listener.end()
+
+    def _connected(self) -> bool:
+        return any(listener.connections for listener in self.listeners)
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -34,6 +34,9 @@
 DIGEST = 16  # bytes
 RESULTS_PART = 1 / 16  # of the program's memory, for stored results
 
+UNPLACED = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED)  # ends of a run that never began
+FAILED = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET)  # ends of one that may have had its effect
+
 Message: TypeAlias = m.Submit | m.Cancel | m.Reject | m.Check | m.CallDone | m.Leave | m.Told
 Key: TypeAlias = tuple[int, int, str, bytes]  # class, tenant, key, digest of what is asked
 Told = TypeVar("Told", contravariant=True)
@@ -290,10 +293,12 @@
 
     def _run_ended(self, request: Request, end: i.Outcome, spent: float, body: bytes = b"") -> None:
         self._drop_call(request)
+        if end in UNPLACED:  # a refusal may promise that it never ran
+            request.launched = False
         self._over(request, body if end is i.Outcome.OK else None)
         if end is i.Outcome.OK:
             self._answer(request, m.Served(request.submit.ref, body, self.load))
-        elif end is i.Outcome.ERROR:
+        elif end in FAILED:
             self._fail(request, "the run failed")
         self.events.append(i.RunEnded(request.id, end, spent))
 
--- a/shelfhaven/server/members.py
+++ b/shelfhaven/server/members.py
@@ -21,8 +21,8 @@
 class Members:
     """Actor of the membership service."""
 
-    def __init__(self, address: Address, name: str, log: Log) -> None:
-        self.address, self.name = (address.host, address.port), name
+    def __init__(self, address: Address | None, name: str, log: Log) -> None:
+        self.address, self.name = address, name
         self.mailbox: Mailbox[m.Standing] = Mailbox(self._take, log)
         self.up = True
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -33,17 +33,18 @@
         """Take what is to be reported from now on."""
         self.mailbox.put(message)
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address | None) -> None:
         """Report to another address from now on, and at once: the last report may have been lost."""
-        if (address.host, address.port) != self.address:
-            self.address = (address.host, address.port)
+        if address != self.address:
+            self.address = address
             if self.timer:
                 self.timer.cancel()
                 self._report()
 
     def start(self) -> None:
-        """Report from now on."""
-        self._report()
+        """Report from now on, if there is a service."""
+        if self.address:
+            self._report()
 
     def _take(self, standing: m.Standing) -> None:
         if standing.up != self.up:
@@ -54,7 +55,8 @@
 
     def _report(self) -> None:
         with contextlib.suppress(OSError):
-            self.socket.sendto(wire.report(self.name, self.up), self.address)
+            if self.address:
+                self.socket.sendto(wire.report(self.name, self.up), (self.address.host, self.address.port))
         self.timer = asyncio.get_running_loop().call_later(EVERY, self._report)
 
     def end(self) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import contextlib
 import copy
 import os
@@ -17,13 +16,12 @@
 import orjson
 
 from shelfhaven import config
-from shelfhaven.protocol import jsonrpc
+from shelfhaven.lab.callers import SOON, Router, until
 from shelfhaven.server.app import App
 from shelfhaven.server.log import Log
 from tests.test_config import CONFIG
 
 NULL = os.open(os.devnull, os.O_WRONLY)
-SOON = 10.0  # seconds; a step that takes longer has failed
 
 
 def free_port() -> int:
@@ -34,13 +32,6 @@
         return port
 
 
-async def until(true: Callable[[], Any]) -> None:
-    """Wait for something to become true."""
-    async with asyncio.timeout(SOON):
-        while not true():
-            await asyncio.sleep(0.002)
-
-
 class Agent:
     """The render farm agent: keeps notices, replays them, and does what `on_launch` says."""
 
@@ -179,55 +170,6 @@
         return found
 
 
-class Router:
-    """One connection of a router."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
-        self.cutter = jsonrpc.Cutter()
-        self.got: list[dict[str, Any]] = []
-        self.ended = False
-        self.task = asyncio.get_running_loop().create_task(self._read())
-
-    async def _read(self) -> None:
-        with contextlib.suppress(ConnectionError):
-            while data := await self.reader.read(65536):
-                self.got += [orjson.loads(body) for body in self.cutter.feed(data)]
-        self.ended = True
-
-    def send(self, message: Any) -> None:
-        body = message if isinstance(message, bytes) else orjson.dumps(message)
-        self.writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
-
-    def request(self, id_: int, method: str = "look", **changes: Any) -> str:
-        """Send a request; the name of the try is returned."""
-        params = {
-            "call": f"{id_:016x}",
-            "recv": int(time.time() * 1000),
-            "src": 1,
-            "org": "one",
-            "heap": 10.0,
-            "crit": 0.5,
-            "body": base64.b64encode(b"ask").decode(),
-        } | changes
-        self.send({"jsonrpc": "2.0", "id": id_, "method": method, "params": params})
-        return str(params["call"])
-
-    def of(self, id_: int) -> list[dict[str, Any]]:
-        return [message for message in self.got if message.get("id") == id_]
-
-    async def answer(self, id_: int) -> dict[str, Any]:
-        await until(lambda: self.of(id_))
-        return self.of(id_)[0]
-
-    def told_to_leave(self) -> bool:
-        return any(message.get("method") == "shutdown" for message in self.got)
-
-    async def close(self) -> None:
-        self.writer.close()
-        await self.task
-
-
 class Site:
     """A server among its peers."""
 
@@ -280,6 +222,7 @@
 
     async def router(self) -> Router:
         address = self.app.config.listen
+        assert address
         return Router(*await asyncio.open_connection(address.host, address.port))
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -7,9 +7,10 @@
 
 import pytest
 
+from shelfhaven.lab.callers import until
 from shelfhaven.server.app import Phase
 from tests import peers
-from tests.peers import play, site, until
+from tests.peers import play, site
 
 
 async def another_agent(of: peers.Agent) -> peers.Agent:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,11 +14,12 @@
 
 from shelfhaven.backends import ledger
 from shelfhaven.backends.agent import RESTART_MARGIN, RETRY_MOST
+from shelfhaven.lab.callers import until
 from shelfhaven.protocol import agent as wire
 from shelfhaven.protocol import jsonrpc
 from shelfhaven.server.app import NEXT, App, Phase
 from shelfhaven.server.log import FromLibraries, Log
-from tests.peers import NULL, Site, play, site, until
+from tests.peers import NULL, Site, play, site
 
 MADE = base64.b64encode(b"made for " + f"{1:016x}".encode()).decode()
 
@@ -554,6 +555,7 @@
     async def check() -> None:
         async with site() as s:
             listen = s.app.config.listen
+            assert listen
             again = App(s.app.config, Log("second", NULL))
             listening = asyncio.get_running_loop().create_task(again._listen())
             await asyncio.sleep(0)
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -8,8 +8,9 @@
 
 from shelfhaven.fronts import listener
 from shelfhaven.fronts.connection import Connection
+from shelfhaven.lab.callers import until
 from shelfhaven.protocol import jsonrpc
-from tests.peers import play, site, until
+from tests.peers import play, site
 
 
 def test_who_stays_silent_is_closed_on_and_who_asked_once_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -19,13 +19,14 @@
 from shelfhaven.backends.ledger import Ledger
 from shelfhaven.config import Address
 from shelfhaven.decision.interface import Outcome
+from shelfhaven.lab.callers import Router, until
 from shelfhaven.protocol import jsonrpc
 from shelfhaven.server import messages as m
 from shelfhaven.server.app import Phase
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from tests import peers
-from tests.peers import NULL, free_port, play, site, until
+from tests.peers import NULL, free_port, play, site
 from tests.test_config import CONFIG
 
 
@@ -269,6 +270,7 @@
     async def check() -> None:
         async with site(domain={"cores": 40, "memory-kb": 1e6}) as s:
             address = s.app.config.listen
+            assert address
             slow = socket.socket()
             slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             slow.connect((address.host, address.port))
@@ -369,7 +371,7 @@
             env=os.environ | {"GW_CONFIG": str(path)}, stderr=subprocess.PIPE,
         )  # fmt: skip
         await until(lambda: b"HB n3 UP" in members.reports())
-        router = peers.Router(*await asyncio.open_connection("127.0.0.1", port))
+        router = Router(*await asyncio.open_connection("127.0.0.1", port))
         router.request(1)
         assert "result" in await router.answer(1)
         moved = peers.Members()
