--- a/shelfhaven/lab/callers.py
+++ b/shelfhaven/lab/callers.py
@@ -36,7 +36,7 @@
         self.reader, self.writer = reader, writer
         self.cutter = jsonrpc.Cutter()
         self.got: list[dict[str, Any]] = []
-        self.ended = False
+        self.ended = self.leave = False
         self.awaited: dict[int, asyncio.Future[dict[str, Any]]] = {}
         self.task = asyncio.get_running_loop().create_task(self._read())
 
@@ -46,6 +46,7 @@
                 messages = [orjson.loads(body) for body in self.cutter.feed(data)]
                 self.got += messages
                 for message in messages:
+                    self.leave |= message.get("method") == "shutdown"
                     awaited = self.awaited.pop(message.get("id") or 0, None)
                     if awaited and not awaited.done():
                         awaited.set_result(message)
@@ -83,7 +84,7 @@
         return await future
 
     def told_to_leave(self) -> bool:
-        return any(message.get("method") == "shutdown" for message in self.got)
+        return self.leave
 
     async def close(self) -> None:
         self.writer.close()
@@ -110,6 +111,7 @@
 
 
 LOST = Reply(0, {}, b"")
+NOT_REACHED = Reply(0, {}, b"no connection")
 
 
 async def connect(place: Address | Path) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -146,7 +148,7 @@
     try:
         reader, writer = await connect(place)
     except OSError:
-        return LOST
+        return NOT_REACHED
     writer.write(uwsgi.encode(variables(method, path, **more), body))
     try:
         return await read_reply(reader)
--- a/shelfhaven/lab/demo.py
+++ b/shelfhaven/lab/demo.py
@@ -22,7 +22,7 @@
 
 from shelfhaven.config import Address
 from shelfhaven.lab import checker
-from shelfhaven.lab.callers import LOST, Reply, Router, ask, connect
+from shelfhaven.lab.callers import LOST, NOT_REACHED, Reply, Router, ask, connect
 from shelfhaven.lab.checker import Kind, Try
 from shelfhaven.lab.vendor import Ran, Vendor
 
@@ -123,11 +123,16 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(one.due - one.sent + 1):
                 reply = await ask(self.gateways, "POST" if one.key else "GET", one.path, one.body, **more)
-        if reply.status:
+        if reply is NOT_REACHED:
+            one.answered(time.time(), Kind.NOT_REACHED)
+        elif reply.status:
             one.answered(time.time(), kind_of(reply), reply.body, reply.advice)
 
     async def _router(self, one: Try) -> None:
         link = self.random.choice(self.links)
+        if link.ended or link.told_to_leave():
+            one.answered(time.time(), Kind.NOT_REACHED)  # it would look for another node
+            return
         ref = len(self.tries)  # one that this link has not seen: tries are numbered over all links
         params = {"src": self.links.index(link) + 1, "org": one.tenant, "call": f"{ref:016x}"}
         if one.key:
@@ -177,9 +182,12 @@
 
 
 async def play(
-    seconds: float, load: float, seed: int, progress: bool = True
+    seconds: float, load: float, seed: int, progress: bool = True, drain_at: float = 2.0
 ) -> tuple[list[Try], list[Ran], int]:
-    """The day of the demo; the tries, the runs and the node's exit code."""
+    """The day of the demo; the tries, the runs and the node's exit code.
+
+    `drain_at`: the part of the time at which the node is told to leave; it gets requests all the same.
+    """
     runs: list[Ran] = []
     vendors = [Vendor(f"vendor-{n}", runs, WORKERS, MEAN, seed + n) for n in range(SERVERS)]
     for vendor in vendors:
@@ -201,8 +209,11 @@
                     log.seek(0)
                     raise RuntimeError(f"the node did not start: {log.read().decode()}")
                 await callers.open()
+                leaving = asyncio.get_running_loop().call_later(drain_at * seconds, node.terminate)
                 await _drive(callers, vendors, seconds, load, seed, progress)
-                node.terminate()
+                leaving.cancel()
+                if node.returncode is None:
+                    node.terminate()
                 code = await node.wait()
             finally:
                 if node.returncode is None:
--- a/shelfhaven/operatorfile.py
+++ b/shelfhaven/operatorfile.py
@@ -179,7 +179,8 @@
 
     def note(self, name: str, value: object, origin: str) -> None:
         """Record where a value comes from."""
-        self.book.append(Origin(f"{self.path} > {name}".removeprefix(" > "), str(value), origin))
+        path = " > ".join(filter(None, (self.path, name)))
+        self.book.append(Origin(path, str(value), origin))
 
     def done(self) -> None:
         """Nothing may be left over, here or below."""
--- a/shelfhaven/routing/mapping.py
+++ b/shelfhaven/routing/mapping.py
@@ -60,7 +60,7 @@
                 return True
             if place >= len(theirs) or theirs[place] == REST:
                 return False
-            if word not in (SEGMENT, theirs[place]):
+            if word != theirs[place] and (word != SEGMENT or not theirs[place]):
                 return False
         return len(mine) == len(theirs)
 
--- a/shelfhaven/routing/pool.py
+++ b/shelfhaven/routing/pool.py
@@ -20,7 +20,7 @@
 
 from shelfhaven.routing.limits import AdaptiveLimit
 
-USUAL_GAIN = 1 / 32  # weight of a new latency in what a class usually takes in the pool
+USUAL_GAIN = 1 / 32  # weight of a new latency, with few in hand, in what a class usually takes
 USUAL_MOST = 4.0  # usual latencies that one sample counts as at most: tails and slow servers rule no mean
 SLOW_GAIN = 0.125  # weight of a new latency in a server's slowness: about the last eight
 SAMPLES_LEAST = 5  # answers of a server before its latency is compared
@@ -61,7 +61,7 @@
     limit_first: float = 8.0  # runs in hand at a server, to begin with
     limit_least: float = 1.0
     limit_most: float = 256.0
-    tolerance: float = 2.0  # latency over the best seen before a limit shrinks
+    tolerance: float = 1.5  # latency over that with few in hand, before a limit shrinks
     eject_failures: int = 5  # failures in a row that put a server out
     eject_slow: float = 4.0  # times the median latency of the others that put it out
     eject_part: float = 0.5  # of the servers that may be out at once
@@ -86,7 +86,7 @@
     standing: Standing = Standing.IN
     since: float = 0.0  # when it came to stand so
     until: float = 0.0  # end of its time out
-    in_flight: dict[int, tuple[float, str]] = field(default_factory=dict)  # attempt -> begin, class
+    in_flight: dict[int, tuple[float, str, int]] = field(default_factory=dict)  # begin, class, in hand then
     failures: int = 0  # in a row
     ejections: int = 0  # not forgotten yet
     slowness: float = 1.0  # mean latency, in usual ones
@@ -160,7 +160,7 @@
 
     def begin(self, now: float, server: Server, attempt: int, cls: str) -> None:
         """An attempt begins at a server."""
-        server.in_flight[attempt] = now, cls
+        server.in_flight[attempt] = now, cls, len(server.in_flight) + 1
         self.by_attempt[attempt] = server
         if server.standing is Standing.TRIAL:
             server.trial = attempt
@@ -187,21 +187,24 @@
         return max(now, min(ends, default=math.inf))
 
     def _limit(self, now: float, server: Server) -> float:
-        return max(1.0, server.limit.value * self.share(now, server))
+        return max(1.0, server.limit.allowed * self.share(now, server))
 
     def _has_room(self, now: float, server: Server) -> bool:
         return server.standing in USED and len(server.in_flight) < int(self._limit(now, server))
 
     def _score(self, now: float, server: Server) -> float:
-        """What a run would wait for there, in usual latencies; failures in a row make a server look long."""
+        """What a run would wait for there, in usual latencies. A server that fails at once never has much in
+        flight: one that cannot be put out, as too many are, is left for when the others are far behind.
+        """
         load = (len(server.in_flight) + 1) / self.share(now, server)
-        return load * self._estimate(now, server) * (1 + server.failures) ** 2
+        failing = max(0, server.failures - self.settings.eject_failures + 1)
+        return load * self._estimate(now, server) * (1 + failing) ** 2
 
     def _estimate(self, now: float, server: Server) -> float:
         """A server's slowness: of its answers, or of what it has not answered yet if that tells more."""
         if not server.in_flight:
             return server.slowness
-        began, cls = next(iter(server.in_flight.values()))
+        began, cls, _ = next(iter(server.in_flight.values()))
         usual = self.usual.get(cls, 0.0)
         age = (now - began) / usual if usual > 0 else 0.0
         return max(server.slowness, age) if age > AGE_FROM else server.slowness
@@ -213,7 +216,8 @@
         server = self.by_attempt.pop(attempt, None)
         if server is None:
             return
-        began, cls = server.in_flight.pop(attempt)
+        most = len(server.in_flight)
+        began, cls, at_begin = server.in_flight.pop(attempt)
         trial = server.trial == attempt
         if trial:
             server.trial = 0
@@ -225,7 +229,7 @@
             return
         server.ended_at = now
         if news is News.GOOD:
-            self._good(now, server, now - began, cls, trial)
+            self._good(now, server, now - began, cls, max(most, at_begin), trial)
         elif news is News.REFUSED:
             server.limit.refused()
             if trial:  # it answers, so it is there; its limit says how little it gets
@@ -239,12 +243,13 @@
             elif server.standing in USED and server.failures >= self.settings.eject_failures:
                 self._eject(now, server, f"{server.failures} failures in a row")
 
-    def _good(self, now: float, server: Server, spent: float, cls: str, trial: bool) -> None:
+    def _good(self, now: float, server: Server, spent: float, cls: str, crowd: int, trial: bool) -> None:
         usual = self.usual.get(cls)
         if usual is None:
             usual = self.usual[cls] = max(spent, 1e-6)
         latency = spent / usual
-        self.usual[cls] = max(1e-6, usual + USUAL_GAIN * usual * (min(latency, USUAL_MOST) - 1))
+        if server.limit.is_quiet(crowd):  # in a crowd it would hide the crowd
+            self.usual[cls] = max(1e-6, usual + USUAL_GAIN * usual * (min(latency, USUAL_MOST) - 1))
         server.failures = 0
         if trial:
             if latency > self.settings.eject_slow * self._others(server):
@@ -255,7 +260,7 @@
             return
         server.slowness += SLOW_GAIN * (latency - server.slowness)
         server.samples += 1
-        server.limit.completed(latency, len(server.in_flight) + 1)
+        server.limit.completed(latency, crowd)
         self._judge(now, server)
 
     def _others(self, server: Server) -> float:
@@ -292,7 +297,7 @@
         """Several in flight, all for far longer than usual, and nothing ended since the oldest began."""
         if len(server.in_flight) < 2 or len(self.servers) < 2:
             return False
-        began, _ = next(iter(server.in_flight.values()))
+        began, _, _ = next(iter(server.in_flight.values()))
         bound = FROZEN * self.settings.eject_slow * self._others(server)
         return server.ended_at <= began and self._estimate(now, server) > max(AGE_FROM, bound)
 
@@ -319,6 +324,5 @@
         server.ejections += 1
         server.failures = server.samples = 0
         server.slowness = 1.0
-        server.limit.value = min(server.limit.value, max(s.limit_least, s.limit_first))
-        server.limit.short = server.limit.floor = 0.0
+        server.limit.restart(s.limit_first)
         self._stand(now, server, Standing.OUT, why)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -639,3 +639,37 @@
     assert 0.0 in published(busy=0.2, servers=2)
     assert 0.0 in published(busy=0.6, servers=8)
     assert 0.0 not in published(busy=0.6, servers=2)  # one of two: half of the work has nowhere to go
+
+
+# Runs that found no server, and a runner's room
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.FULL, i.Outcome.CONNECT_FAILED])
+def test_a_run_that_never_began_is_turned_away_and_its_key_is_free(outcome: i.Outcome) -> None:
+    c = Controller(settings(), 1)
+    c.on_event(0.0, i.Started())
+    kept = c.on_event(0.0, i.Arrival(1, 1, 1, 1.0))
+    assert of(kept, i.Keep)
+    actions = c.on_event(0.1, i.RunEnded(1, outcome, 0.1))
+    assert [type(a) for a in actions if not isinstance(a, i.SetTimer)] == [i.Refuse, i.Forget]
+    again = c.on_event(0.2, i.Arrival(2, 1, 1, 1.0))
+    assert of(again, i.Run)
+
+
+def test_the_same_end_of_a_run_whose_caller_has_left_answers_nobody() -> None:
+    c = Controller(settings(), 1)
+    c.on_event(0.0, i.Started())
+    c.on_event(0.0, i.Arrival(1, 0, 1, 1.0))
+    c.on_event(0.1, i.Gone(1))
+    assert not c.on_event(0.2, i.RunEnded(1, i.Outcome.FULL, 0.1))
+    assert not c.requests
+
+
+def test_no_more_is_run_than_the_runner_has_room_for() -> None:
+    c = Controller(settings(gauges=("cpu_busy", "runs_room"), cores=4), 1)
+    c.on_event(0.0, i.Started())
+    c.on_event(0.1, i.Timer(control.TICK_TOKEN, (0.5, 1.5)))
+    runs = [of(c.on_event(0.1, i.Arrival(n, 0, 1, 1.0)), i.Run) for n in (1, 2, 3)]
+    assert [len(run) for run in runs] == [1, 0, 0]
+    c.on_event(0.2, i.Timer(control.TICK_TOKEN, (1.0, 9.0)))
+    assert c.cap == 4.0
