--- a/shelfhaven/lab/demo.py
+++ b/shelfhaven/lab/demo.py
@@ -9,13 +9,8 @@
 import asyncio
 import base64
 import contextlib
-import os
-import socket
-import sys
-import tempfile
 import time
 from collections import Counter
-from pathlib import Path
 from random import Random
 
 import click
@@ -24,6 +19,7 @@
 from shelfhaven.lab import checker
 from shelfhaven.lab.callers import LOST, NOT_REACHED, Reply, Router, ask, connect
 from shelfhaven.lab.checker import Kind, Try
+from shelfhaven.lab.node import free_address, served
 from shelfhaven.lab.vendor import Ran, Vendor
 
 SERVERS, WORKERS, MEAN = 4, 4, 0.1  # seconds of a run
@@ -34,7 +30,7 @@
 ROUTERS = 4
 DYING_AT, BACK_AT = 0.4, 0.7  # of the time
 FILE = """
-node "demo" stop="5s"
+node "demo" stop="2s"
 work {{
     at-once {at_once}
     callers 8
@@ -59,14 +55,6 @@
 """
 
 
-def free_port() -> int:
-    """A loopback port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Load:
     """Callers of both protocols; each try and what it was answered is kept."""
 
@@ -182,7 +170,7 @@
 
 
 async def play(
-    seconds: float, load: float, seed: int, progress: bool = True, drain_at: float = 2.0
+    seconds: float, load: float, seed: int, progress: bool = True, drain_at: float = 2.0, dying: bool = True
 ) -> tuple[list[Try], list[Ran], int]:
     """The day of the demo; the tries, the runs and the node's exit code.
 
@@ -192,50 +180,21 @@
     vendors = [Vendor(f"vendor-{n}", runs, WORKERS, MEAN, seed + n) for n in range(SERVERS)]
     for vendor in vendors:
         await vendor.start()
-    gateways, routers = (Address("127.0.0.1", free_port()) for _ in range(2))
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "operator.kdl"
-        servers = "\n".join(f'    server "{vendor.address}"' for vendor in vendors)
-        path.write_text(
-            FILE.format(gateways=gateways, routers=routers, servers=servers, at_once=SERVERS * WORKERS)
-        )
-        command = [sys.executable, "-m", "shelfhaven", "serve", "--operator", str(path)]
-        with (Path(folder) / "log").open("w+b") as log:
-            env = {key: value for key, value in os.environ.items() if key != "GW_CONFIG"}
-            node = await asyncio.create_subprocess_exec(*command, stderr=log, env=env)
-            try:
-                callers = Load(gateways, routers, seed)
-                if not await _up(routers, node):
-                    log.seek(0)
-                    raise RuntimeError(f"the node did not start: {log.read().decode()}")
-                await callers.open()
-                leaving = asyncio.get_running_loop().call_later(drain_at * seconds, node.terminate)
-                await _drive(callers, vendors, seconds, load, seed, progress)
-                leaving.cancel()
-                if node.returncode is None:
-                    node.terminate()
-                code = await node.wait()
-            finally:
-                if node.returncode is None:
-                    node.kill()
-                    await node.wait()
-                for vendor in vendors:
-                    vendor.stop()
+    gateways, routers = free_address(), free_address()
+    servers = "\n".join(f'    server "{vendor.address}"' for vendor in vendors)
+    text = FILE.format(gateways=gateways, routers=routers, servers=servers, at_once=SERVERS * WORKERS)
+    callers = Load(gateways, routers, seed)
+    async with served(text, routers) as node:
+        await callers.open()
+        leaving = asyncio.get_running_loop().call_later(drain_at * seconds, node.leave)
+        await _drive(callers, vendors if dying else [], seconds, load, seed, progress)
+        leaving.cancel()
+        code = await node.ended()
+    for vendor in vendors:
+        vendor.stop()
     return callers.tries, runs, code
 
 
-async def _up(address: Address, node: asyncio.subprocess.Process) -> bool:
-    """Whether the node listens, within some seconds and while it lives."""
-    end = time.monotonic() + 10
-    while node.returncode is None and time.monotonic() < end:
-        with contextlib.suppress(OSError):
-            _, writer = await connect(address)
-            writer.close()
-            return True
-        await asyncio.sleep(0.05)
-    return False
-
-
 async def _drive(
     callers: Load, vendors: list[Vendor], seconds: float, load: float, seed: int, progress: bool
 ) -> None:
@@ -247,7 +206,7 @@
         callers.begin()
         due += random.expovariate(load * CAPACITY)
         part = due / seconds
-        if DYING_AT < part < BACK_AT and not dead:
+        if vendors and DYING_AT < part < BACK_AT and not dead:
             dead = True
             vendors[-1].stop()
         elif part > BACK_AT and dead:
--- a/shelfhaven/lab/vendor.py
+++ b/shelfhaven/lab/vendor.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import time
 from dataclasses import dataclass, field
 from enum import Enum
@@ -25,6 +27,7 @@
     RUN_AND_CLOSE = "run and close"  # runs it and ends the connection without an answer
     FAIL = "fail"  # runs it and answers 500
     RAW = "raw"  # runs it and answers with the bytes in `raw`
+    RAW_AND_RESET = "raw and reset"  # the same, and then the connection is reset
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,8 +114,14 @@
             await self.go.wait()
         if mode is Mode.RUN_AND_CLOSE:
             return
-        if mode is Mode.RAW:
+        if mode in (Mode.RAW, Mode.RAW_AND_RESET):
             writer.write(self.raw)
+            if mode is Mode.RAW_AND_RESET:
+                at_once = struct.pack("ii", 1, 0)  # what is closed so is reset
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+                await asyncio.sleep(0.05)  # the bytes arrive first
+                writer.transport.abort()
+                return
         else:
             status = 500 if mode is Mode.FAIL else 200
             writer.write(http.answer(status, [], made(request.body, variables["PATH_INFO"]), close=True))
--- a/shelfhaven/protocol/uwsgi.py
+++ b/shelfhaven/protocol/uwsgi.py
@@ -96,27 +96,29 @@
 
 def decode(block: bytes) -> dict[str, str]:
     """The variables of a block. Raises StreamError where it is none."""
+    text = block.decode("latin-1")  # once: a byte is a character
     variables: dict[str, str] = {}
-    place = 0
-    while place < len(block):
-        name, place = _text(block, place, "name")
-        value, place = _text(block, place, "value")
+    place, end = 0, len(block)
+    while place < end:
+        middle = _end(block, place, end, "name")
+        name = text[place + 2 : middle]
         if not name or len(name) > NAME_MOST:
             raise StreamError(BAD_REQUEST, "a variable without a name, or with one far too long")
         if name in variables:
             raise StreamError(BAD_REQUEST, f"{name}: twice in one request")
-        variables[name] = value
+        place = _end(block, middle, end, "value")
+        variables[name] = text[middle + 2 : place]
     return variables
 
 
-def _text(block: bytes, place: int, what: str) -> tuple[str, int]:
-    if place + SIZE.size > len(block):
+def _end(block: bytes, place: int, end: int, what: str) -> int:
+    """Where the text ends whose length stands at that place."""
+    if place + 2 > end:
         raise StreamError(BAD_REQUEST, f"a {what} whose length is past the block's end")
-    (size,) = SIZE.unpack_from(block, place)
-    end = place + SIZE.size + size
-    if end > len(block):
+    past = place + 2 + block[place] + (block[place + 1] << 8)
+    if past > end:
         raise StreamError(BAD_REQUEST, f"a {what} that is past the block's end")
-    return block[place + SIZE.size : end].decode("latin-1"), end
+    return past
 
 
 def encode(variables: Mapping[str, str], body: bytes = b"") -> bytes:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -17,6 +17,7 @@
 
 from shelfhaven import config
 from shelfhaven.lab.callers import SOON, Router, until
+from shelfhaven.lab.node import free_port
 from shelfhaven.server.app import App
 from shelfhaven.server.log import Log
 from tests.test_config import CONFIG
@@ -24,14 +25,6 @@
 NULL = os.open(os.devnull, os.O_WRONLY)
 
 
-def free_port() -> int:
-    """A loopback port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Agent:
     """The render farm agent: keeps notices, replays them, and does what `on_launch` says."""
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -20,13 +20,14 @@
 from shelfhaven.config import Address
 from shelfhaven.decision.interface import Outcome
 from shelfhaven.lab.callers import Router, until
+from shelfhaven.lab.node import free_port
 from shelfhaven.protocol import jsonrpc
 from shelfhaven.server import messages as m
 from shelfhaven.server.app import Phase
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from tests import peers
-from tests.peers import NULL, free_port, play, site
+from tests.peers import NULL, play, site
 from tests.test_config import CONFIG
 
 
--- a/tests/test_uwsgi.py
+++ b/tests/test_uwsgi.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import tempfile
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -19,7 +20,7 @@
 from shelfhaven.lab import checker, demo
 from shelfhaven.lab.callers import Reply, Router, ask, connect, read_reply, until, variables
 from shelfhaven.lab.checker import Kind, Try
-from shelfhaven.lab.demo import free_port
+from shelfhaven.lab.node import free_address
 from shelfhaven.lab.vendor import Mode, Ran, Vendor
 from shelfhaven.protocol import uwsgi
 from shelfhaven.server.app import App, Phase
@@ -63,8 +64,8 @@
         self.vendors = [Vendor(f"v{n}", self.runs) for n in range(count)]
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "operator.kdl"
-        self.gateways: Address | Path = Address("127.0.0.1", free_port())
-        self.routers = Address("127.0.0.1", free_port())
+        self.gateways: Address | Path = free_address()
+        self.routers = free_address()
         self.values: dict[str, Any] = {
             "stop": "2s", "at_once": 16, "memory": "64MB", "deadline": "3s", "pool": "", "listen": "",
         } | changes  # fmt: skip
@@ -237,8 +238,12 @@
     async def check() -> None:
         async with node() as n:
             reader, writer = await connect(n.gateways)
-            writer.write(uwsgi.encode(variables("POST", "/topup"), b"x" * 500_000))
+            writer.write(uwsgi.encode(variables("POST", "/topup"), b"x" * 500_000)[:200_000])
             assert (await read_reply(reader)).status == 413
+            for _ in range(10):
+                writer.write(b"x" * 20_000)
+                await writer.drain()
+            assert await reader.read() == b""  # an end, no reset that could overtake the answer
             writer.close()
 
     play(check)
@@ -488,8 +493,10 @@
     async def check() -> None:
         async with node(deadline="2s") as n:
             n.vendors[0].go.clear()
+            started = time.monotonic()
             reply = await n.topup("k", HTTP_X_TIME_LEFT_MS="300")
             assert (reply.status, reply.not_run) == (504, False)
+            await until(lambda: time.monotonic() > started + 0.4)  # the caller's time is over
             n.vendors[0].go.set()
             assert (await n.topup("k")).body == b"made for five"
             assert n.ran(b"five") == 1
@@ -535,6 +542,16 @@
     play(check)
 
 
+def test_an_answer_without_a_length_that_a_reset_cuts_short_is_a_failure() -> None:
+    async def check() -> None:
+        async with node() as n:
+            n.vendors[0].mode, n.vendors[0].raw = Mode.RAW_AND_RESET, b"HTTP/1.1 200 OK\r\n\r\nha"
+            reply = await n.topup("k")
+            assert (reply.status, reply.not_run) == (502, False)
+
+    play(check)
+
+
 @pytest.mark.parametrize("length", [b"Content-Length: 4\r\n", b""])
 def test_a_good_answer_with_or_without_a_length_is_taken(length: bytes) -> None:
     async def check() -> None:
@@ -634,3 +651,31 @@
     refused = one("k")
     refused.answered(101.0, Kind.REFUSED)
     assert "refused and yet run" in checker.broken([refused], [run()])[0]
+
+
+def test_flapping_and_slow_servers_cost_safe_requests_nothing_and_keyed_ones_no_second_run() -> None:
+    async def check() -> None:
+        async with node(4, deadline="3s") as n:
+            for vendor in n.vendors:
+                vendor.mean = 0.02
+            n.vendors[1].slow = 10.0
+
+            async def flap() -> None:
+                while True:
+                    await asyncio.sleep(0.2)
+                    n.vendors[0].stop()
+                    await asyncio.sleep(0.2)
+                    await n.vendors[0].start()
+
+            flapping = asyncio.ensure_future(flap())
+            for batch in range(20):
+                asked = [n.ask("GET", f"/balance/{batch}-{i}") for i in range(4)]
+                asked += [n.topup(f"k{batch}-{i}", b"%d-%d" % (batch, i)) for i in range(4)]
+                replies = await asyncio.gather(*asked)
+                assert {reply.status for reply in replies[:4]} == {200}
+                for i, reply in enumerate(replies[4:]):
+                    assert reply.status == 200 or not reply.not_run or not n.ran(b"%d-%d" % (batch, i))
+            flapping.cancel()
+            assert max(n.ran(run.body) for run in n.runs if run.key) == 1
+
+    play(check)
