--- /dev/null
+++ b/shelfhaven/backends/proxy.py
@@ -0,0 +1,84 @@
+"""Proxies as a runner: what the core launches is told to the stream that asked, and the proxy runs it.
+
+Owns the list of consultations in hand and what they tell of the service behind the proxies: its room. It
+must never decide: what a message means is `routing/consult.py`'s to say, what a service can take
+`routing/pool.py`'s.
+"""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from shelfhaven.decision.interface import Outcome
+from shelfhaven.routing.pool import News, Pool, PoolSettings
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox
+
+BEHIND = "behind the proxies"  # the one service, as far as is known here
+NEWS = {
+    Outcome.OK: News.GOOD,
+    Outcome.ERROR: News.BAD,
+    Outcome.TIMEOUT: News.BAD,
+    Outcome.RESET: News.NONE,  # the proxy left; the service may be well
+    Outcome.FULL: News.REFUSED,
+    Outcome.CONNECT_FAILED: News.NONE,
+}
+
+
+class Consulting(Protocol):
+    """A consultation, as the runner knows it."""
+
+    def launched(self, launch: m.Launch) -> None:
+        """The core lets it run."""
+
+
+class ProxyRunner:
+    """Actor of all that proxies run; consultations enter themselves and tell of their ends."""
+
+    def __init__(self, at_once: int, tell: Callable[[m.Told], None], log: Log) -> None:
+        self.tell, self.log = tell, log
+        self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log)
+        self.open: dict[str, Consulting] = {}
+        self.attempts: dict[str, int] = {}
+        self.numbers = itertools.count(1)
+        settings = PoolSettings(limit_first=at_once, limit_most=4.0 * at_once, eject_part=0.0)
+        self.pool = Pool(settings, [BEHIND], time.monotonic(), Random(0))
+
+    @property
+    def up(self) -> bool:
+        return False  # its room is told with the pools' gauges
+
+    def put(self, message: m.Command | m.Sample) -> None:
+        """Take a command."""
+        self.mailbox.put(message)
+
+    def load(self) -> tuple[int, float]:
+        """Runs in hand, and how many the service behind seems to take."""
+        return self.pool.in_hand(), self.pool.room(time.monotonic())
+
+    def _take(self, message: m.Command | m.Sample) -> None:
+        match message:
+            case m.Launch():
+                consulting = self.open.get(message.call)
+                if consulting is None:  # its stream is gone, or it came by another front
+                    self.tell(m.RunDone(message.call, Outcome.CONNECT_FAILED, 0.0))
+                    return
+                number = self.attempts[message.call] = next(self.numbers)
+                self.pool.begin(time.monotonic(), self.pool.servers[BEHIND], number, message.cls)
+                consulting.launched(message)
+            case m.Sample():
+                self.tell(m.Sampled(message.tag, ()))
+            case m.Deliver() | m.Forgo():
+                self.log.event("no_word_for", action=type(message).__name__)
+
+    def ended(self, call: str, outcome: Outcome, spent: float, result: bytes | None) -> None:
+        """A run is over."""
+        if number := self.attempts.pop(call, 0):
+            self.pool.end(time.monotonic(), number, NEWS[outcome])
+            self.pool.events.clear()
+        self.tell(m.RunDone(call, outcome, spent, result))
--- a/shelfhaven/backends/uwsgi.py
+++ b/shelfhaven/backends/uwsgi.py
@@ -13,7 +13,7 @@
 import time
 import traceback
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -247,8 +247,10 @@
         tell: Teller,
         log: Log,
         seed: int,
+        beside: Sequence[Callable[[], tuple[int, float]]] = (),
     ) -> None:
         self.gauges, self.descriptors, self.tell, self.log, self.seed = gauges, descriptors, tell, log, seed
+        self.beside = beside  # what other runners have in hand, and their room: one core has one cap
         self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log)
         self.pools: dict[str, PoolActor] = {}
         self.by_class: dict[str, PoolActor] = {}
@@ -300,6 +302,9 @@
         now = time.monotonic()
         room = sum(pool.runs.room(now) for pool in self.pools.values())
         in_hand = sum(pool.runs.pool.in_hand() for pool in self.pools.values())
+        for load in self.beside:
+            more, further = load()
+            in_hand, room = in_hand + more, room + further
         told = {"runs_room": room, "cpu_busy": min(1.0, in_hand / max(1.0, room))}
         return tuple(told.get(name, 0.0) for name in self.gauges)
 
--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -84,7 +84,7 @@
 
     __slots__ = (
         "again", "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id",
-        "ran", "read_at", "state", "stopping", "waiters",
+        "ran", "read_at", "start_by", "state", "stopping", "waiters",
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
@@ -92,6 +92,8 @@
         self.id, self.cls = event.id, event.cls
         self.hint, self.footprint = _sane(event.hint), _sane(event.footprint_kb)
         self.read_at, self.arrived, self.due, self.aim_at = now, now - _sane(event.age), due, aim_at
+        start = _sane(event.start_within)
+        self.start_by = now + start if start else math.inf  # its run begins by then or never
         self.state = State.DONE  # until it is taken in
         self.answered = self.stopping = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
@@ -222,7 +224,9 @@
             self.callers.charge(caller)
             self._hold(now, request, keyed)
         if request.state != State.DONE:
-            self.out.append(i.SetTimer(max(0.0, request.due - now), request.id, request.id))
+            self.out.append(i.SetTimer(max(0.0, self._decide_by(request) - now), request.id, request.id))
+            if request.start_by < request.due:
+                self.out.append(i.SetTimer(max(0.0, request.due - now), request.id, request.id))
 
     def _new_request(self, now: float, event: i.Arrival, caller: Caller) -> Request:
         cls = self.settings.classes[event.cls]
@@ -235,10 +239,14 @@
         self._move(request, State.HELD)
         return request
 
+    def _decide_by(self, request: Request) -> float:
+        """When it has to be decided: in time for its answer, and where its run must soon begin, for that."""
+        return min(request.due, request.start_by - self.margin)
+
     def _must_refuse(self, now: float, request: Request) -> bool:
         """What no admission share can let in: no time, no room, leaving, or standing still."""
         full = self.memory + self.settings.key_kb > MEMORY_PART * self.settings.memory_kb
-        late = request.due <= now or request.arrived > self.drain_at + self.settings.drain_grace
+        late = self._decide_by(request) <= now or request.arrived > self.drain_at + self.settings.drain_grace
         return late or full or self.stalled or (self.sick and now + self._expected(request) > request.aim_at)
 
     def _shed(self, caller: Caller) -> bool:
@@ -287,8 +295,10 @@
             self._tick(now, dict(zip(self.settings.gauges, event.gauges, strict=False)))
         elif request and retry and request.state == State.AT_CALL:
             self._place(now, request)
-        elif request and not retry and not request.answered and now >= request.due - self.settings.tick:
-            self._give_up(now, request)
+        elif request and not retry and not request.answered:
+            held = request.state in (State.HELD, State.REUSING)
+            if now >= (self._decide_by(request) if held else request.due) - self.settings.tick:
+                self._give_up(now, request)
 
     def _tick(self, now: float, gauges: dict[str, float]) -> None:
         self.out.append(i.SetTimer(PERIOD, TICK_TOKEN))
@@ -426,7 +436,8 @@
             cls = self.settings.classes[request.cls]
             limit = request.aim_at + cls.late_worth * (request.due - request.aim_at)
             fit = busy * (FIT if now > request.read_at else FIT_FRESH)
-            if not request.ran and now + fit * self._expected(request) > limit:
+            last = self._decide_by(request) if not request.ran else math.inf
+            if not request.ran and (now + fit * self._expected(request) > limit or now >= last):
                 self._give_up(now, request)
         if not self._room():
             return
--- a/shelfhaven/decision/interface.py
+++ b/shelfhaven/decision/interface.py
@@ -137,6 +137,7 @@
 
     `budget` is how long its caller still waits (0: not told), `age` how long ago it reached the
     machine, `hint` its expected work (0: not told), `same_as` the kept request it repeats (0: none).
+    `start_within` is how long its run may take to begin (0: as long as it likes).
     """
 
     id: int
@@ -151,6 +152,7 @@
     retry: bool = False
     rank: float = 0.0
     key: int = 0
+    start_within: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/shelfhaven/operatorfile.py
+++ b/shelfhaven/operatorfile.py
@@ -32,6 +32,7 @@
 )
 from shelfhaven.decision.interface import Advert, ClassSettings, Repeat, Settings, TenantSettings
 from shelfhaven.protocol import uwsgi
+from shelfhaven.routing.consult import ConsultSettings
 from shelfhaven.routing.mapping import MappingSettings, Pattern, Route, Source
 from shelfhaven.routing.pool import PoolSettings
 
@@ -40,7 +41,7 @@
 
 REPEATS = {"safe": Repeat.SAFE, "keyed": Repeat.KEYED, "once": Repeat.UNSAFE}
 ADVERTS = {"none": Advert.NONE, "level": Advert.LEVEL, "window": Advert.WINDOW, "weight": Advert.WEIGHT}
-PROTOCOLS = {"jsonrpc": "jsonrpc", "uwsgi": "uwsgi"}
+PROTOCOLS = {"jsonrpc": "jsonrpc", "uwsgi": "uwsgi", "extproc": "extproc"}
 TIME_UNITS = {"ms": 0.001, "s": 1.0}
 GAUGES = ("cpu_busy", "runs_room")  # that pools tell
 TICK = 0.01  # seconds; events are told at most so often
@@ -48,6 +49,15 @@
 TEXT_MOST = 1 << 20  # bytes of a file
 
 
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Files of a listener's certificate; with `client_ca` its callers need one too."""
+
+    certificate: Path
+    key: Path
+    client_ca: Path | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Listen:
     """One listening socket beside the platform's; sizes in bytes, times in seconds."""
@@ -65,6 +75,8 @@
     health: str = "/-/health"
     load: str = "/-/load"
     content_type: str = "application/json"  # of results
+    consult: ConsultSettings = ConsultSettings()
+    tls: Tls | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -464,7 +476,48 @@
     )
 
 
-def _listen(part: Part, mappings: Mapping[str, MappingSettings]) -> tuple[str, Listen]:
+def file(raw: Any) -> Path:
+    """A file that is there."""
+    path = Path(text(raw))
+    if not path.is_file():
+        raise ValueError(f"{raw!r} is no file")
+    return path
+
+
+def _tls(part: Part) -> Tls | None:
+    below = part.child("tls")
+    if below is None:
+        return None
+    authority = below.take("client-ca", file, None) if "client-ca" in below.node.props else None
+    below.known.add("client-ca")
+    return Tls(below.take("certificate", file, None), below.take("key", file, None), authority)
+
+
+def _consult(part: Part, config: Config) -> ConsultSettings:
+    given = _defaults(ConsultSettings)
+    shadow = part.child("shadow")
+    names = [text(raw) for raw in shadow.args] if shadow else []
+    for name in names:
+        if name not in config.classes:
+            raise part.fault("shadow", f"{name!r} is no class")
+    if shadow:
+        shadow.args = []
+    settings = ConsultSettings(
+        verdict=part.take("verdict", positive_time, given["verdict"]),
+        margin=part.take("margin", time, given["margin"]),
+        lease=part.take("lease", positive_time, given["lease"]),
+        body_most=part.take("body-most", size, given["body_most"]),
+        streams_most=part.take("streams", whole(1, 100_000), given["streams_most"]),
+        bytes_most=part.take("bytes", size, given["bytes_most"]),
+        fail_open=part.take("fail-open", flag, given["fail_open"]),
+        shadow=frozenset(config.classes.index(name) for name in names),
+    )
+    if settings.margin >= settings.verdict:
+        raise part.fault("margin", "leaves nothing of the verdict's time")
+    return settings
+
+
+def _listen(part: Part, mappings: Mapping[str, MappingSettings], config: Config) -> tuple[str, Listen]:
     name = part.name("listener's name")
     given = _defaults(Listen)
     protocol = part.take("protocol", word(PROTOCOLS), None)
@@ -474,6 +527,12 @@
     mapping = part.take("mapping", text, None)
     if mapping not in mappings:
         raise part.fault("mapping", f"{mapping!r} is no mapping of this file")
+    content_type = part.take("content-type", text, given["content_type"])
+    if protocol == "extproc":
+        consult = _consult(part, config)
+        return name, Listen(
+            name, protocol, address, mapping, content_type=content_type, consult=consult, tls=_tls(part)
+        )
     return name, Listen(
         name,
         protocol,
@@ -487,7 +546,7 @@
         body_most=part.take("body-most", size, given["body_most"]),
         health=part.take("health", path_of, given["health"]),
         load=part.take("load", path_of, given["load"]),
-        content_type=part.take("content-type", text, given["content_type"]),
+        content_type=content_type,
     )
 
 
@@ -570,7 +629,7 @@
                 root.parts.remove(part)
         book.append(Origin("classes", ", ".join(platform.classes), "platform"))
     mappings = _unique((_mapping(part, config) for part in root.children("mapping")), root, "mapping")
-    listens = _unique((_listen(part, mappings) for part in root.children("listen")), root, "listen")
+    listens = _unique((_listen(part, mappings, config) for part in root.children("listen")), root, "listen")
     pools = _unique((_pool(part, config) for part in root.children("pool")), root, "pool")
     root.done()
     _check_whole(root, config, listens, pools, platform)
@@ -594,9 +653,10 @@
     if platform is None:
         if not listens:
             raise root.fault("listen", "missing: nobody could ask anything")
+        proxied = any(listen.protocol == "extproc" for listen in listens.values())
         for cls in config.classes:
-            if cls not in run:
-                raise root.fault(f'work > class "{cls}"', "no pool runs it")
+            if cls not in run and not proxied:
+                raise root.fault(f'work > class "{cls}"', "no pool runs it, and no proxy")
     addresses = [listen.address for listen in listens.values()] + [platform.listen if platform else None]
     for listen in listens.values():
         if addresses.count(listen.address) > 1:
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -30,7 +30,9 @@
 from shelfhaven.server.members import Members
 
 if TYPE_CHECKING:  # imported only where an operator's file is given
+    from shelfhaven.backends.proxy import ProxyRunner
     from shelfhaven.backends.uwsgi import Pools
+    from shelfhaven.fronts.extproc import Processor
     from shelfhaven.operatorfile import Listen, Operator
     from shelfhaven.routing.mapping import Mapping
 
@@ -99,6 +101,8 @@
         self.ledger = Ledger(first.ledger, self.descriptors, self.core.put, log)
         self.members = Members(first.members, first.name, log)
         self.pools: Pools | None = None
+        self.proxies: ProxyRunner | None = None
+        self.processors: list[Processor] = []
         self.mappings: dict[str, Mapping] = {}
         self.listeners: list[Listener] = []
         if first.listen:
@@ -131,11 +135,27 @@
         for listen in operator.listens:
             if listen.protocol == "jsonrpc":
                 self.listeners.append(self._routers(listen.address, listen.most))
+            elif listen.protocol == "extproc":
+                self._consulted(listen)
             else:
                 self.listeners.append(self._gateways(listen))
-        if operator.pools:
+        if operator.pools or self.proxies:
             gauges = first.settings.gauges
-            self.pools = Pools(operator.pools, gauges, self.descriptors, self.core.put, log, first.seed)
+            beside = [self.proxies.load] if self.proxies else []
+            tell = self.core.put
+            self.pools = Pools(operator.pools, gauges, self.descriptors, tell, log, first.seed, beside)
+
+    def _consulted(self, listen: Listen) -> None:
+        """A listener for proxies; gRPC is imported only for one."""
+        from shelfhaven.backends.proxy import ProxyRunner
+        from shelfhaven.fronts.extproc import Processor
+
+        tell, log = self.core.put, self.log
+        if self.proxies is None:
+            self.proxies = ProxyRunner(self.config.settings.cores, tell, log)
+        good = lambda: self.core.good and not self.core.draining  # noqa: E731
+        mapping = self.mappings[listen.mapping]
+        self.processors.append(Processor(listen, mapping, self.proxies, tell, log, good))
 
     def _gateways(self, listen: Listen) -> Listener:
         from shelfhaven.fronts.uwsgi import GatewayConnection
@@ -147,7 +167,8 @@
     def _runners(self) -> list[m.Runner]:
         """By class: the pool that the operator's file gives it, else the agent."""
         pools = self.pools
-        return [pools if pools and cls in pools.by_class else self.agent for cls in self.config.classes]
+        rest: m.Runner = self.agent if self.config.agent or not pools else pools
+        return [pools if pools and cls in pools.by_class else rest for cls in self.config.classes]
 
     def _enter(self, phase: Phase) -> None:
         if phase not in NEXT[self.phase]:
@@ -196,6 +217,8 @@
         here: dict[str, Any] = {"late_ms": round((now - due) * 1000, 1), "connections": connections}
         if self.pools:
             here["pools"] = self.pools.load_now()
+        if self.processors:
+            here["proxies"] = [processor.load_now() for processor in self.processors]
         self.log.event("load", **here, calls=len(self.ledger.open), **self.core.load_now())
         self.look = loop.call_at(now + LOOK, self._look, now + LOOK)
 
@@ -209,6 +232,8 @@
         """Listen; a process that had an address before may need a moment to be gone."""
         for listener in self.listeners:
             await self._listen_on(listener)
+        for processor in self.processors:
+            await processor.start()
 
     async def _listen_on(self, listener: Listener) -> None:
         for tries_left in range(LISTEN_TRIES - 1, -1, -1):
@@ -278,6 +303,8 @@
         self._enter(Phase.DRAINING)
         for listener in self.listeners:
             listener.leave()
+        for processor in self.processors:
+            processor.leave(max(0.0, self.stop_at - ANSWERED_PART * self.closing - time.monotonic()))
         await asyncio.sleep(max(0.0, self.stop_at - self.closing - time.monotonic()))
 
     async def _close(self) -> None:
@@ -287,13 +314,17 @@
             listener.close()
         quiet_since = time.monotonic()
         while self._connected() and (now := time.monotonic()) < self.stop_at - WATCH:
-            if sum(listener.open_requests() for listener in self.listeners):
+            open_ = sum(listener.open_requests() for listener in self.listeners)
+            if open_ + sum(processor.open_requests() for processor in self.processors):
                 quiet_since = now
             elif now - quiet_since > CROSSING:
                 break
             await asyncio.sleep(WATCH)
         for listener in self.listeners:
             listener.end()
+        for processor in self.processors:
+            await processor.end()
 
     def _connected(self) -> bool:
-        return any(listener.connections for listener in self.listeners)
+        streams = any(processor.open_requests() for processor in self.processors)
+        return streams or any(listener.connections for listener in self.listeners)
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -149,6 +149,7 @@
         self.results: OrderedDict[Key, int] = OrderedDict()  # stored results, oldest first: sizes
         self.result_bytes = 0
         self.result_room = int(config.limits.memory_mb * RESULTS_PART * (1 << 20))
+        self.unsure: list[Request] = []  # given up by callers that may have had them run elsewhere
         self.events: deque[i.Event] = deque()  # told to the module after the actions in hand
         self.timers: list[tuple[float, int, int, int]] = []  # due, order, token, request that it is for
         self.order = itertools.count()
@@ -265,6 +266,7 @@
                 retry=submit.retry,
                 rank=submit.rank,
                 key=submit.key,
+                start_within=max(LEAST_BUDGET, submit.start_within - age) if submit.start_within else 0.0,
             )
         )
 
@@ -280,6 +282,8 @@
         if request is None:
             return
         request.owed = Owed.RELEASED
+        if cancel.may_run and request.stage is Stage.HELD and request.submit.dedupe:
+            self.unsure.append(request)
         self.events.append(i.Gone(request.id))
 
     def _run_of(self, call: str) -> Request | None:
@@ -291,13 +295,13 @@
         if request.stage is Stage.CALLING:
             self.ledger.put(m.DropCall(request.id))
 
-    def _run_ended(self, request: Request, end: i.Outcome, spent: float, body: bytes = b"") -> None:
+    def _run_ended(self, request: Request, end: i.Outcome, spent: float, body: bytes | None = b"") -> None:
         self._drop_call(request)
         if end in UNPLACED:  # a refusal may promise that it never ran
             request.launched = False
         self._over(request, body if end is i.Outcome.OK else None)
         if end is i.Outcome.OK:
-            self._answer(request, m.Served(request.submit.ref, body, self.load))
+            self._answer(request, m.Served(request.submit.ref, body or b"", self.load))
         elif end in FAILED:
             self._fail(request, "the run failed")
         self.events.append(i.RunEnded(request.id, end, spent))
@@ -322,7 +326,7 @@
         self.events.append(i.CallEnded(request.id, done.outcome, self.clock() - request.since))
 
     def _runner(self, request: Request) -> m.Runner:
-        return self.runners[request.submit.cls]
+        return request.submit.runner or self.runners[request.submit.cls]
 
     def _runs_lost(self, runner: m.Runner) -> None:
         for request in list(self.requests.values()):
@@ -354,6 +358,8 @@
                 except Exception:
                     self.log.event("action_failed", action=repr(action), error=traceback.format_exc(limit=-4))
             self._tidy(event)
+        while self.unsure:
+            self._keep_unsure(self.unsure.pop())
         self._purge()
         self._set_alarm()
 
@@ -497,6 +503,17 @@
             self.table[request.key] = Entry(request.id, until, forgotten)
             heapq.heappush(self.table_ends, (forgotten, request.key))
 
+    def _keep_unsure(self, request: Request) -> None:
+        """What may have run out of sight is kept as run, with no result: under a number that the module never
+        saw, as to the module it was turned away.
+        """
+        cls = self.config.settings.classes[request.submit.cls]
+        until = self.now + cls.window
+        if request.launched or request.key in self.table or cls.repeat is not i.Repeat.KEYED:
+            return
+        self.table[request.key] = Entry(next(self.ids), until, until + cls.deadline)
+        heapq.heappush(self.table_ends, (until + cls.deadline, request.key))
+
     def _store(self, request: Request, result: bytes) -> None:
         entry = self._entry(request.key, request.id)
         if entry is None:
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -99,14 +99,17 @@
     key: int
     body: bytes
     asked: Asked | None = None
+    start_within: float = 0.0  # seconds from `recv` in which its run must begin; 0: no matter
+    runner: Runner | None = None  # who runs it; None: whoever runs its class
 
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Nobody waits for that request any more."""
+    """Nobody waits for that request any more; `may_run`: it may be run all the same, out of sight."""
 
     front: Front
     ref: int
+    may_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,12 +201,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RunDone:
-    """A run is over after `spent` seconds; `body` is its result if it went well."""
+    """A run is over after `spent` seconds; `body` is its result if it went well, None if not known."""
 
     call: str
     outcome: Outcome
     spent: float
-    body: bytes = b""
+    body: bytes | None = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -673,3 +673,37 @@
     assert [len(run) for run in runs] == [1, 0, 0]
     c.on_event(0.2, i.Timer(control.TICK_TOKEN, (1.0, 9.0)))
     assert c.cap == 4.0
+
+
+# Runs that must begin soon
+
+
+def test_what_must_begin_soon_is_refused_in_time_and_never_begun_late() -> None:
+    c = Controller(settings(cores=1, tick=0.01), 1)
+    c.on_event(0.0, i.Started())
+    c.on_event(0.0, i.Arrival(1, 0, 1, 1.0))
+    held = c.on_event(0.0, i.Arrival(2, 0, 1, 1.0, start_within=0.2))
+    timers = [a.delay for a in held if isinstance(a, i.SetTimer) and a.id == 2]
+    assert timers == [pytest.approx(0.2 - c.margin), pytest.approx(3.0 - c.margin)]
+    refused = c.on_event(0.2 - c.margin, i.Timer(2))
+    assert of(refused, i.Refuse)
+    late = c.on_event(0.3, i.Arrival(3, 0, 1, 1.0, start_within=0.01))
+    assert of(late, i.Refuse)
+
+
+def test_a_run_that_has_begun_in_time_has_its_whole_time() -> None:
+    c = Controller(settings(cores=1, tick=0.01), 1)
+    c.on_event(0.0, i.Started())
+    assert of(c.on_event(0.0, i.Arrival(1, 0, 1, 1.0, start_within=0.2)), i.Run)
+    assert not of(c.on_event(0.2, i.Timer(1)), i.Fail)
+    assert of(c.on_event(3.0, i.Timer(1)), i.Fail)
+
+
+def test_after_a_pause_nothing_is_begun_past_its_time() -> None:
+    c = Controller(settings(cores=1, tick=0.01), 1)
+    c.on_event(0.0, i.Started())
+    c.on_event(0.0, i.Arrival(1, 0, 1, 1.0))
+    c.on_event(0.0, i.Arrival(2, 0, 1, 1.0, start_within=0.2))
+    ended = c.on_event(1.0, i.RunEnded(1, i.Outcome.OK, 1.0))  # the core is free, the timer is late
+    assert not of(ended, i.Run)
+    assert [a.id for a in ended if isinstance(a, i.Refuse)] == [2]
--- a/tests/test_operatorfile.py
+++ b/tests/test_operatorfile.py
@@ -93,7 +93,7 @@
             'never reached: /topup',
         ),
         ('mapping="m"', 'mapping="n"', "f: listen \"g\" mapping: 'n' is no mapping"),
-        ('protocol="uwsgi"', 'protocol="http"', "protocol: 'http' is none of jsonrpc, uwsgi"),
+        ('protocol="uwsgi"', 'protocol="http"', "protocol: 'http' is none of jsonrpc, uwsgi, extproc"),
         ('address="127.0.0.1:4101"', 'address="localhost:4101"', "address: not an address in numbers"),
         ('address="127.0.0.1:4101"', 'address="unix:run/x"', "not an absolute path"),
         ('address="127.0.0.1:4101"', 'address="127.0.0.1:99999"', "is not a port"),
@@ -108,7 +108,7 @@
             'f: pool "p" server: one is there twice',
         ),
         ('server "127.0.0.1:5101"', 'server', "not an address"),
-        ('runs "topup"\n', '', 'f: work > class "topup": no pool runs it'),
+        ('runs "topup"\n', '', 'f: work > class "topup": no pool runs it, and no proxy'),
         ('runs "topup"\n', 'runs "topup"\nruns "topup"\n', 'runs "topup": is there twice'),
         (
             'runs "topup"\n',
