--- /dev/null
+++ b/shelfhaven/fronts/consulting.py
@@ -0,0 +1,162 @@
+"""What all fronts for proxies share: a consultation between the proxy's words and the core.
+
+Owns the books of one listener for proxies and of each consultation: the verdict that is awaited, the lease,
+what is counted. It must never decide (`routing/consult.py` does), nor know a protocol's words: subclasses do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from shelfhaven.backends.proxy import ProxyRunner
+from shelfhaven.fronts.connection import ToCore
+from shelfhaven.operatorfile import Listen
+from shelfhaven.routing import consult
+from shelfhaven.routing.mapping import Mapping as Rules
+from shelfhaven.server import messages as m
+from shelfhaven.server.log import Log
+
+CALL_BYTES = 8  # of the name of a try
+BEAT, REMEMBERED = 0.02, 0.05  # seconds between beats of the loop, and that a pause counts on
+
+
+class Desk:
+    """The books of one listener for proxies."""
+
+    def __init__(
+        self, listen: Listen, mapping: Rules, runner: ProxyRunner, tell: ToCore, log: Log,
+        good: Callable[[], bool],
+    ) -> None:  # fmt: skip
+        self.listen, self.mapping, self.runner, self.tell, self.log = listen, mapping, runner, tell, log
+        self.good = good
+        self.settings = listen.consult
+        self.streams = consult.Streams(self.settings)
+        self.lateness = consult.Lateness(BEAT, REMEMBERED)
+        self.answered: Counter[tuple[int, str]] = Counter()  # by class and kind, since the last look
+        self.beat: asyncio.TimerHandle | None = None
+
+    def keep_time(self) -> None:
+        """Note how late the loop is, from now on."""
+        self.lateness.beat(time.monotonic())
+        self.beat = asyncio.get_running_loop().call_later(BEAT, self.keep_time)
+
+    def open_requests(self) -> int:
+        """Consultations that are open."""
+        return self.streams.open
+
+    def load_now(self) -> dict[str, Any]:
+        """What was asked and answered since the last look, for the log."""
+        answered, self.answered = self.answered, Counter()
+        told = {f"{cls} {kind}": count for (cls, kind), count in answered.items()}
+        return {"streams": self.streams.open, "turned_away": self.streams.turned_away, **told}
+
+
+class Asking(ABC):
+    """One consultation: a front of the core, and what the proxy runner knows."""
+
+    def __init__(self, desk: Desk, peer: str) -> None:
+        self.desk, self.peer = desk, peer
+        late = desk.lateness.at(time.monotonic())
+        self.recv = time.time() - late
+        self.consultation = consult.Consultation(desk.settings, False, False, time.monotonic() - late)
+        self.call = os.urandom(CALL_BYTES).hex()
+        self.verdict: asyncio.Future[bytes] | None = None
+        self.lease: asyncio.TimerHandle | None = None
+        self.load: float | None = None
+        self.asked: m.Submit | None = None
+
+    @abstractmethod
+    def _continue(self, action: consult.Continue, launch: m.Launch | None) -> bytes:
+        """The words for a request that may go on."""
+
+    @abstractmethod
+    def _immediate(self, action: consult.Immediate) -> bytes:
+        """The words for an answer that the proxy gives itself."""
+
+    def _map(self, variables: Mapping[str, str]) -> None:
+        """Learn from the mapping what is asked. Raises Fault."""
+        desk, c = self.desk, self.consultation
+        mapped = desk.mapping.take(time.monotonic(), variables, self.peer, 0)
+        c.keyed, c.shadow = bool(mapped.key), mapped.cls in desk.settings.shadow
+        self.asked = m.Submit(
+            front=self, ref=1, call=self.call, cls=mapped.cls, tenant=mapped.tenant, caller=mapped.caller,
+            recv=self.recv, budget=mapped.left, hint=mapped.work, footprint_kb=mapped.footprint_kb,
+            rank=mapped.rank, retry=mapped.retry, dedupe=mapped.key, key=mapped.row, body=b"",
+            asked=m.Asked(
+                variables["REQUEST_METHOD"], variables["PATH_INFO"], variables.get("QUERY_STRING", ""),
+                variables.get("CONTENT_TYPE", ""), mapped.passed, mapped.parts,
+            ),
+            start_within=desk.settings.within, runner=desk.runner,
+        )  # fmt: skip
+
+    async def _submit(self, body: bytes) -> bytes:
+        """Ask the core and wait for the verdict; the core gives one in time, by its timers."""
+        assert self.asked
+        submit = self.asked
+        if body:
+            submit = replace(submit, body=body, footprint_kb=submit.footprint_kb + len(body) / 1024)
+        self.verdict = asyncio.get_running_loop().create_future()
+        self.desk.runner.open[self.call] = self
+        self.desk.tell(submit)
+        return await self.verdict
+
+    def launched(self, launch: m.Launch) -> None:
+        """The core lets it run."""
+        self._do(self.consultation.launched(time.monotonic()), launch)
+
+    def answer(self, answer: m.Answer) -> None:
+        """Take the core's answer: a verdict if there was none yet, else the end of what it owes."""
+        now, c = time.monotonic(), self.consultation
+        self.load = answer.load
+        if self.asked:
+            self.desk.answered[self.asked.cls, type(answer).__name__.lower()] += 1
+        match answer:
+            case m.Served():
+                self._do(c.served(answer.body))
+            case m.Refused():
+                self._do(c.refused(now, answer.retry_after, answer.stay))
+            case m.Failed():
+                self._do(c.failed(now, answer.text, answer.late))
+            case m.Healthy():
+                pass
+
+    def _lease_out(self) -> None:
+        self.desk.log.event("lease_out", peer=self.peer)
+        self._do(self.consultation.lease_out(time.monotonic()))
+
+    def _do(self, actions: list[consult.Action], launch: m.Launch | None = None) -> None:
+        """What follows from the core's words, from time and from the stream's end."""
+        for action in actions:
+            match action:
+                case consult.Continue():
+                    self._decide(self._continue(action, launch))
+                    loop = asyncio.get_running_loop()
+                    self.lease = loop.call_later(self.desk.settings.lease, self._lease_out)
+                case consult.Immediate():
+                    self._decide(self._immediate(action))
+                case consult.Ended():
+                    if self.lease:
+                        self.lease.cancel()
+                    self.desk.runner.ended(self.call, action.outcome, action.spent, action.result)
+                case consult.Withdraw():
+                    self.desk.tell(m.Cancel(self, 1, action.may_run))
+                case consult.Fault():
+                    self.desk.log.event("proxy_fault", peer=self.peer, text=action.text)
+
+    def _decide(self, words: bytes) -> None:
+        if self.verdict and not self.verdict.done():
+            self.verdict.set_result(words)
+
+    def closed(self) -> None:
+        """Nothing more comes."""
+        self._do(self.consultation.closed(time.monotonic()))
+        self.desk.runner.open.pop(self.call, None)
+        if self.lease:
+            self.lease.cancel()
--- a/shelfhaven/fronts/extproc.py
+++ b/shelfhaven/fronts/extproc.py
@@ -12,12 +12,9 @@
 import asyncio
 import contextlib
 import math
-import os
 import time
 import traceback
-from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +23,7 @@
 
 from shelfhaven.backends.proxy import ProxyRunner
 from shelfhaven.fronts.connection import ToCore
+from shelfhaven.fronts.consulting import Asking, Desk
 from shelfhaven.operatorfile import Listen, Tls
 from shelfhaven.protocol.pb import core_pb2, extproc_pb2, mode_pb2, status_pb2
 from shelfhaven.routing import consult
@@ -36,10 +34,9 @@
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
 HEALTH = "/grpc.health.v1.Health/Check"
 SERVING, NOT_SERVING = b"\x08\x01", b"\x08\x02"  # HealthCheckResponse, of one field
-CALL_BYTES = 8
 MESSAGE_MOST = 1 << 20  # bytes
 HEADERS_MOST = 32 * 1024  # bytes of gRPC metadata
-BEAT, REMEMBERED = 0.02, 0.05  # seconds between beats of the loop, and that a pause counts on
+FULL_PAUSE = 1.0  # seconds, the advice when all streams are taken
 OVERWRITE = core_pb2.HeaderValueOption.OVERWRITE_IF_EXISTS_OR_ADD
 WHOLE = mode_pb2.ProcessingMode.BUFFERED
 SEND = mode_pb2.ProcessingMode.SEND
@@ -91,40 +88,29 @@
     return found
 
 
-class Stream:
-    """One consultation: a front of the core, and what the proxy runner knows."""
+class Stream(Asking):
+    """One stream: a consultation whose words are those of the published service."""
 
-    def __init__(self, processor: Processor, peer: str) -> None:
-        self.processor, self.peer = processor, peer
-        self.consultation: consult.Consultation
-        self.call = os.urandom(CALL_BYTES).hex()
-        self.verdict: asyncio.Future[bytes] | None = None
-        self.lease: asyncio.TimerHandle | None = None
-        self.cls = -1
-        self.load: float | None = None
-        self.held = 0
-        self.asked: m.Submit | None = None
-        self.asked_body = False
-
-    # Messages of the proxy
+    def __init__(self, desk: Desk, peer: str) -> None:
+        super().__init__(desk, peer)
+        self.held = 0  # bytes of a body
+        self.begun = self.asked_body = False
 
     async def take(self, data: bytes) -> bytes | None:
         """The answer to one message; None where it needs none. Raises DecodeError, Fault."""
         request = extproc_pb2.ProcessingRequest.FromString(data)
         kind = request.WhichOneof("request")
-        now = time.monotonic()
-        if not hasattr(self, "consultation"):
-            if kind != "request_headers":
-                raise Fault(400, "a stream that does not begin with request headers")
-            return await self._headers(request.request_headers, now)
-        c = self.consultation
+        now, c = time.monotonic(), self.consultation
+        if not self.begun and kind != "request_headers":
+            raise Fault(400, "a stream that does not begin with request headers")
         match kind:
+            case "request_headers":
+                actions = self._headers(request.request_headers)
             case "response_headers":
                 told = variables_of(request.response_headers.headers)
                 status = _status(request.response_headers.headers)
                 not_run = told.get("HTTP_X_NOT_RUN") == "1"
-                end = request.response_headers.end_of_stream
-                actions = c.response_headers(now, status, not_run, end)
+                actions = c.response_headers(now, status, not_run, request.response_headers.end_of_stream)
             case "request_body":
                 actions = c.request_body(request.request_body.body, request.request_body.end_of_stream)
             case "response_body":
@@ -132,48 +118,29 @@
                 actions = c.response_body(now, part.body, part.end_of_stream)
             case "request_trailers" | "response_trailers":
                 actions = c.trailers(now, kind == "response_trailers")
-            case "request_headers":
-                raise Fault(400, "request headers a second time")
             case _:
                 return None  # a kind that is not known here asks for nothing
         self._note_held(len(c.body))
-        return await self._do(actions, str(kind))
-
-    async def _headers(self, headers: extproc_pb2.HttpHeaders, now: float) -> bytes | None:
-        processor = self.processor
-        late = processor.lateness.at(now)
-        settings = processor.settings
-        self.consultation = consult.Consultation(settings, False, False, now - late)
-        variables = variables_of(headers.headers)
+        return await self._answer_to(actions, str(kind))
+
+    def _headers(self, headers: extproc_pb2.HttpHeaders) -> list[consult.Action]:
+        if self.begun:
+            raise Fault(400, "request headers a second time")
+        self.begun = True
         try:
-            mapped = processor.mapping.take(now, variables, self.peer, 0)
+            self._map(variables_of(headers.headers))
         except Fault as fault:
-            return await self._do(self.consultation.invalid(fault.status, str(fault)), "request_headers")
-        c = self.consultation
-        c.keyed, c.shadow = bool(mapped.key), mapped.cls in settings.shadow
-        self.cls = mapped.cls
-        processor.asked[mapped.cls] += 1
-        self.asked = m.Submit(
-            front=self, ref=1, call=self.call, cls=mapped.cls, tenant=mapped.tenant, caller=mapped.caller,
-            recv=time.time() - late, budget=mapped.left, hint=mapped.work, footprint_kb=mapped.footprint_kb,
-            rank=mapped.rank, retry=mapped.retry, dedupe=mapped.key, key=mapped.row, body=b"",
-            asked=m.Asked(variables["REQUEST_METHOD"], variables["PATH_INFO"], variables["QUERY_STRING"],
-                          variables.get("CONTENT_TYPE", ""), mapped.passed, mapped.parts),
-            start_within=settings.within, runner=processor.runner,
-        )  # fmt: skip
-        actions = c.headers(headers.end_of_stream)
-        return await self._do(actions, "request_headers")
+            return self.consultation.invalid(fault.status, str(fault))
+        return self.consultation.headers(headers.end_of_stream)
 
     def _note_held(self, now_held: int) -> None:
-        if self.processor.streams.hold(now_held - self.held):
+        if self.desk.streams.hold(now_held - self.held):
             self.held = now_held
         elif not self.consultation.decided:
             raise Fault(503, "too many bodies in hand")
 
-    # What the consultation wants done
-
-    async def _do(self, actions: list[consult.Action], kind: str) -> bytes | None:
-        """Do what is asked; the answer to the message in hand, which may have to wait for the verdict."""
+    async def _answer_to(self, actions: list[consult.Action], kind: str) -> bytes | None:
+        """The answer to the message in hand, which may have to wait for the verdict."""
         answer: bytes | None = None
         for action in actions:
             match action:
@@ -182,76 +149,13 @@
                 case consult.Submit():
                     answer = await self._submit(action.body)
                 case consult.Immediate():
-                    answer = immediate(action, self.load, self.processor.listen.content_type)
+                    answer = self._immediate(action)
                 case _:
-                    self._aside(action)
+                    self._do([action])
         return answer
 
-    def _aside(self, action: consult.Action) -> None:
-        """What needs no answer to the proxy."""
-        processor = self.processor
-        match action:
-            case consult.Ended():
-                if self.lease:
-                    self.lease.cancel()
-                processor.runner.ended(self.call, action.outcome, action.spent, action.result)
-            case consult.Withdraw():
-                processor.tell(m.Cancel(self, 1, action.may_run))
-            case consult.Fault():
-                processor.log.event("proxy_fault", peer=self.peer, text=action.text)
-
-    async def _submit(self, body: bytes) -> bytes:
-        """Ask the core and wait for the verdict; the core gives one in time, by its timers."""
-        assert self.asked
-        submit = self.asked
-        if body:
-            submit = replace(submit, body=body, footprint_kb=submit.footprint_kb + len(body) / 1024)
-        self.verdict = asyncio.get_running_loop().create_future()
-        self.processor.runner.open[self.call] = self
-        self.processor.tell(submit)
-        return await self.verdict
-
-    def _decided(self, actions: list[consult.Action], launch: m.Launch | None = None) -> None:
-        """The core has spoken."""
-        for action in actions:
-            match action:
-                case consult.Continue():
-                    self._set_verdict(self._continue(action, launch))
-                    loop = asyncio.get_running_loop()
-                    self.lease = loop.call_later(self.processor.settings.lease, self._lease_out)
-                case consult.Immediate():
-                    self._set_verdict(immediate(action, self.load, self.processor.listen.content_type))
-                case _:
-                    self._aside(action)
-
-    def _set_verdict(self, data: bytes) -> None:
-        if self.verdict and not self.verdict.done():
-            self.verdict.set_result(data)
-
-    def launched(self, launch: m.Launch) -> None:
-        """The core lets it run."""
-        self._decided(self.consultation.launched(time.monotonic()), launch)
-
-    def answer(self, answer: m.Answer) -> None:
-        """Take the core's answer: a verdict if there was none yet, else the end of what it owes."""
-        now, c = time.monotonic(), self.consultation
-        self.load = answer.load
-        self.processor.answered[self.cls, type(answer).__name__.lower()] += 1
-        match answer:
-            case m.Served():
-                self._decided(c.served(answer.body))
-            case m.Refused():
-                self._decided(c.refused(now, answer.retry_after, answer.stay))
-            case m.Failed():
-                self._decided(c.failed(now, answer.text, answer.late))
-            case m.Healthy():
-                pass
-
-    def _lease_out(self) -> None:
-        self.processor.log.event("lease_out", peer=self.peer)
-        self._decided(self.consultation.lease_out(time.monotonic()))
-
-    # Words
+    def _immediate(self, action: consult.Immediate) -> bytes:
+        return immediate(action, self.load, self.desk.listen.content_type)
 
     def _continue(self, action: consult.Continue, launch: m.Launch | None) -> bytes:
         """The verdict, as the answer to the message that it was awaited with."""
@@ -259,7 +163,7 @@
         if self.load is not None:
             fields.append(("x-load", f"{self.load:g}"))
         common = extproc_pb2.CommonResponse(header_mutation=_mutation(fields))
-        if self.consultation.keyed and self.asked_body:
+        if self.asked_body:
             response = Response(request_body=extproc_pb2.BodyResponse(response=common))
         else:
             response = Response(request_headers=extproc_pb2.HeadersResponse(response=common))
@@ -279,15 +183,8 @@
         return response.SerializeToString()
 
     def closed(self) -> None:
-        """The stream is over."""
-        self.processor.runner.open.pop(self.call, None)
-        if self.held:
-            self.processor.streams.hold(-self.held)
-        if hasattr(self, "consultation"):
-            for action in self.consultation.closed(time.monotonic()):
-                self._aside(action)
-        if self.lease:
-            self.lease.cancel()
+        super().closed()
+        self.desk.streams.hold(-self.held)
 
 
 def _status(headers: core_pb2.HeaderMap) -> int:
@@ -308,27 +205,20 @@
 }
 
 
-class Processor:
-    """Actor of one listener for proxies."""
+class Processor(Desk):
+    """Actor of one listener for proxies that speak the published service."""
 
     def __init__(
         self, listen: Listen, mapping: Mapping, runner: ProxyRunner, tell: ToCore, log: Log,
         good: Callable[[], bool],
     ) -> None:  # fmt: skip
-        self.listen, self.mapping, self.runner, self.tell, self.log = listen, mapping, runner, tell, log
-        self.good = good
-        self.settings = listen.consult
-        self.streams = consult.Streams(self.settings)
-        self.lateness = consult.Lateness(BEAT, REMEMBERED)
-        self.asked: Counter[int] = Counter()
-        self.answered: Counter[tuple[int, str]] = Counter()
-        self.full = immediate(
-            consult.Immediate(503, "too many consultations; nothing ran", True, 1.0), None, ""
-        )
+        super().__init__(listen, mapping, runner, tell, log, good)
+        turned_away = consult.Immediate(503, "too many consultations; nothing ran", True, FULL_PAUSE)
+        self.full = immediate(turned_away, None, "")  # made once: what is turned away must cost least
         self.server: Any = None
         self.port = 0
-        self.beat: asyncio.TimerHandle | None = None
         self.stopping: asyncio.Future[None] | None = None
+        self.leaving = False
 
     async def start(self) -> None:
         """Listen. Raises OSError."""
@@ -337,6 +227,9 @@
             ("grpc.max_receive_message_length", MESSAGE_MOST),
             ("grpc.max_metadata_size", HEADERS_MOST),
             ("grpc.max_concurrent_streams", 2 * self.settings.streams_most),
+            # below the first the library turns nothing away by chance, whoever sent it
+            ("grpc.server.max_pending_requests", 5 * self.settings.streams_most),
+            ("grpc.server.max_pending_requests_hard_limit", 10 * self.settings.streams_most),
         ]
         self.server = grpc.aio.server(options=options)
         process: Any = grpc.stream_stream_rpc_method_handler(self._process)
@@ -357,15 +250,10 @@
         except RuntimeError as error:
             raise OSError(str(error)) from error
         await self.server.start()
-        self._beat()
-
-    def _beat(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.lateness.beat(time.monotonic())
-        self.beat = loop.call_later(BEAT, self._beat)
+        self.keep_time()
 
     async def _health(self, _: bytes, context: Any) -> bytes:
-        return SERVING if self.good() and not self.stopping else NOT_SERVING
+        return SERVING if self.good() and not self.leaving else NOT_SERVING
 
     async def _process(self, _: Any, context: Any) -> None:
         """One stream: each message has its answer, and its end is told whatever ends it."""
@@ -375,10 +263,15 @@
             return
         stream = Stream(self, _peer(context.peer()))
         try:
-            while (data := await context.read()) is not grpc.aio.EOF:
+            while (data := await self._read(stream, context)) is not grpc.aio.EOF:
                 answer = await stream.take(data)
                 if answer:
-                    await context.write(answer)
+                    async with asyncio.timeout(self.settings.verdict):
+                        await context.write(answer)
+        except TimeoutError:  # what it does not send or take holds nothing up
+            self.log.event("proxy_stalls", peer=stream.peer, stage=stream.consultation.stage.value)
+            with contextlib.suppress(grpc.aio.AbortError):
+                await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "nothing was sent or taken in time")
         except (DecodeError, Fault) as error:
             self.log.event("proxy_unreadable", peer=stream.peer, error=str(error))
             with contextlib.suppress(grpc.aio.AbortError):
@@ -392,15 +285,24 @@
             self.streams.gone()
             stream.closed()
 
-    def leave(self, left: float) -> None:
+    async def _read(self, stream: Stream, context: Any) -> Any:
+        """The next message; a stream's first one, and what a verdict waits for, has to come in time."""
+        if stream.consultation.decided:
+            return await context.read()
+        async with asyncio.timeout(self.listen.within):
+            return await context.read()
+
+    def leave(self) -> None:
+        """Health says so from now on. Streams that come all the same have their verdict: one that crosses
+        the end of the listener would have none, so proxies get the time to look elsewhere first.
+        """
+        self.leaving = True
+
+    def close(self, left: float) -> None:
         """Take no new stream, say so on each connection, let what is open end; `left` seconds remain."""
         if self.server and not self.stopping:
             self.stopping = asyncio.ensure_future(self.server.stop(left))
 
-    def open_requests(self) -> int:
-        """Streams that are open."""
-        return self.streams.open
-
     async def end(self) -> None:
         """End what is still open."""
         if self.beat:
@@ -408,11 +310,6 @@
         if self.server:
             await self.server.stop(0)
 
-    def load_now(self) -> dict[str, Any]:
-        """What was asked and answered, for the log."""
-        answered = {f"{cls} {kind}": count for (cls, kind), count in self.answered.items()}
-        return {"streams": self.streams.open, "turned_away": self.streams.turned_away, **answered}
-
 
 def _peer(text: str) -> str:
     """`ipv4:127.0.0.1:5000` without its port."""
--- a/shelfhaven/lab/proxy.py
+++ b/shelfhaven/lab/proxy.py
@@ -51,19 +51,34 @@
 class Proxy:
     """One proxy; what runs behind it is logged in `log`, in the order in which it began."""
 
-    def __init__(self, port: int, log: list[Ran], name: str = "proxy", wait: float = 0.5) -> None:
+    def __init__(
+        self, port: int, log: list[Ran], name: str = "proxy", wait: float = 0.5, tls: Any = None
+    ) -> None:
         self.log, self.name, self.wait = log, name, wait
-        options = [("grpc.use_local_subchannel_pool", 1)]
-        self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=options)
+        options: list[tuple[str, Any]] = [("grpc.use_local_subchannel_pool", 1)]
+        if tls:
+            self.channel = grpc.aio.secure_channel(f"127.0.0.1:{port}", tls, options=options)
+        else:
+            self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=options)
         self.process: Any = self.channel.stream_stream(METHOD)
         self.upstream: Upstream = self.serve
         self.fail_open = False
-        self.honours_modes = True
+        self.honours_modes = self.healthy = True
 
     async def close(self) -> None:
         """Die: all streams break."""
         await self.channel.close()
 
+    async def watch(self, every: float = 0.05) -> None:
+        """Look at the node's health for ever, as proxies do."""
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    self.healthy = await self.serving()
+            except (grpc.aio.AioRpcError, TimeoutError):
+                self.healthy = False
+            await asyncio.sleep(every)
+
     async def serving(self) -> bool:
         """Whether the node says that it takes work."""
         check: Any = self.channel.unary_unary(HEALTH)
--- a/shelfhaven/operatorfile.py
+++ b/shelfhaven/operatorfile.py
@@ -41,7 +41,8 @@
 
 REPEATS = {"safe": Repeat.SAFE, "keyed": Repeat.KEYED, "once": Repeat.UNSAFE}
 ADVERTS = {"none": Advert.NONE, "level": Advert.LEVEL, "window": Advert.WINDOW, "weight": Advert.WEIGHT}
-PROTOCOLS = {"jsonrpc": "jsonrpc", "uwsgi": "uwsgi", "extproc": "extproc"}
+PROTOCOLS = {"jsonrpc": "jsonrpc", "uwsgi": "uwsgi", "extproc": "extproc", "subrequest": "subrequest"}
+CONSULTED = ("extproc", "subrequest")
 TIME_UNITS = {"ms": 0.001, "s": 1.0}
 GAUGES = ("cpu_busy", "runs_room")  # that pools tell
 TICK = 0.01  # seconds; events are told at most so often
@@ -77,6 +78,7 @@
     content_type: str = "application/json"  # of results
     consult: ConsultSettings = ConsultSettings()
     tls: Tls | None = None
+    refuse_status: int = 403  # of a subrequest that is refused; common proxies know 401 and 403
 
 
 @dataclass(frozen=True, slots=True)
@@ -488,8 +490,8 @@
     below = part.child("tls")
     if below is None:
         return None
-    authority = below.take("client-ca", file, None) if "client-ca" in below.node.props else None
-    below.known.add("client-ca")
+    asked = below.raw("client-ca") is not None
+    authority = below.take("client-ca", file, None) if asked else None
     return Tls(below.take("certificate", file, None), below.take("key", file, None), authority)
 
 
@@ -533,6 +535,12 @@
         return name, Listen(
             name, protocol, address, mapping, content_type=content_type, consult=consult, tls=_tls(part)
         )
+    if protocol == "subrequest":
+        return name, Listen(
+            name, protocol, address, mapping, content_type=content_type, consult=_consult(part, config),
+            health=part.take("health", path_of, given["health"]),
+            refuse_status=part.take("refuse-status", whole(400, 599), given["refuse_status"]),
+        )  # fmt: skip
     return name, Listen(
         name,
         protocol,
@@ -653,7 +661,7 @@
     if platform is None:
         if not listens:
             raise root.fault("listen", "missing: nobody could ask anything")
-        proxied = any(listen.protocol == "extproc" for listen in listens.values())
+        proxied = any(listen.protocol in CONSULTED for listen in listens.values())
         for cls in config.classes:
             if cls not in run and not proxied:
                 raise root.fault(f'work > class "{cls}"', "no pool runs it, and no proxy")
--- a/shelfhaven/routing/consult.py
+++ b/shelfhaven/routing/consult.py
@@ -128,6 +128,7 @@
         self.continued_at = 0.0
         self.answered_apart = False  # shadow: the core gave its answer, the proxy went on without it
         self.unheard = 0  # messages after the run's end
+        self.blind = False  # the proxy never tells how a run went: its lease says nothing of the service
 
     @property
     def decided(self) -> bool:
@@ -274,7 +275,7 @@
         """Nothing was heard of the run for as long as it may take."""
         if self.stage not in (Stage.CONTINUED, Stage.RESULT):
             return []
-        ended = Outcome.OK if self.stage is Stage.RESULT else Outcome.TIMEOUT
+        ended = Outcome.RESET if self.blind else Outcome.OK if self.stage is Stage.RESULT else Outcome.TIMEOUT
         return self._end(ended, now - self.continued_at, None)
 
     def _unheard(self) -> list[Action]:
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -33,6 +33,7 @@
     from shelfhaven.backends.proxy import ProxyRunner
     from shelfhaven.backends.uwsgi import Pools
     from shelfhaven.fronts.extproc import Processor
+    from shelfhaven.fronts.subrequest import Subrequests
     from shelfhaven.operatorfile import Listen, Operator
     from shelfhaven.routing.mapping import Mapping
 
@@ -102,7 +103,7 @@
         self.members = Members(first.members, first.name, log)
         self.pools: Pools | None = None
         self.proxies: ProxyRunner | None = None
-        self.processors: list[Processor] = []
+        self.processors: list[Processor | Subrequests] = []
         self.mappings: dict[str, Mapping] = {}
         self.listeners: list[Listener] = []
         if first.listen:
@@ -135,7 +136,7 @@
         for listen in operator.listens:
             if listen.protocol == "jsonrpc":
                 self.listeners.append(self._routers(listen.address, listen.most))
-            elif listen.protocol == "extproc":
+            elif listen.protocol in ("extproc", "subrequest"):
                 self._consulted(listen)
             else:
                 self.listeners.append(self._gateways(listen))
@@ -146,16 +147,21 @@
             self.pools = Pools(operator.pools, gauges, self.descriptors, tell, log, first.seed, beside)
 
     def _consulted(self, listen: Listen) -> None:
-        """A listener for proxies; gRPC is imported only for one."""
+        """A listener for proxies; gRPC is imported only for one that speaks it."""
         from shelfhaven.backends.proxy import ProxyRunner
-        from shelfhaven.fronts.extproc import Processor
+
+        kind: type[Processor] | type[Subrequests]
+        if listen.protocol == "extproc":
+            from shelfhaven.fronts.extproc import Processor as kind
+        else:
+            from shelfhaven.fronts.subrequest import Subrequests as kind
 
         tell, log = self.core.put, self.log
         if self.proxies is None:
             self.proxies = ProxyRunner(self.config.settings.cores, tell, log)
         good = lambda: self.core.good and not self.core.draining  # noqa: E731
         mapping = self.mappings[listen.mapping]
-        self.processors.append(Processor(listen, mapping, self.proxies, tell, log, good))
+        self.processors.append(kind(listen, mapping, self.proxies, tell, log, good))
 
     def _gateways(self, listen: Listen) -> Listener:
         from shelfhaven.fronts.uwsgi import GatewayConnection
@@ -304,7 +310,7 @@
         for listener in self.listeners:
             listener.leave()
         for processor in self.processors:
-            processor.leave(max(0.0, self.stop_at - ANSWERED_PART * self.closing - time.monotonic()))
+            processor.leave()
         await asyncio.sleep(max(0.0, self.stop_at - self.closing - time.monotonic()))
 
     async def _close(self) -> None:
@@ -312,6 +318,8 @@
         self._enter(Phase.CLOSING)
         for listener in self.listeners:
             listener.close()
+        for processor in self.processors:
+            processor.close(max(0.0, self.stop_at - 2 * WATCH - time.monotonic()))
         quiet_since = time.monotonic()
         while self._connected() and (now := time.monotonic()) < self.stop_at - WATCH:
             open_ = sum(listener.open_requests() for listener in self.listeners)
--- /dev/null
+++ b/tests/test_extproc_troubles.py
@@ -0,0 +1,363 @@
+"""Proxies in trouble: bad HTTP/2, paused and replaced nodes, certificates; and plain subrequests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import grpc
+import h2.config
+import h2.connection
+import h2.settings
+import pytest
+import trustme
+
+from shelfhaven.config import Address
+from shelfhaven.lab.callers import SOON, Reply, connect, read_reply, until
+from shelfhaven.lab.node import free_address, served
+from shelfhaven.lab.proxy import METHOD, Exchange, Proxy
+from shelfhaven.lab.vendor import Ran
+from tests.peers import play
+from tests.test_extproc import Consulted, consulted, slow
+
+# HTTP/2
+
+
+class Raw:
+    """A client that speaks HTTP/2 as badly as a test wants."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.http = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+        self.http.initiate_connection()
+
+    def flush(self) -> None:
+        self.writer.write(self.http.data_to_send())
+
+    def begin(self, **more: str) -> int:
+        stream: int = self.http.get_next_available_stream_id()
+        headers = [
+            (":method", "POST"), (":path", METHOD), (":scheme", "http"), (":authority", "x"),
+            ("content-type", "application/grpc"), ("te", "trailers"), *more.items(),
+        ]  # fmt: skip
+        self.http.send_headers(stream, headers)
+        return stream
+
+    def send(self, stream: int, message: bytes) -> None:
+        self.http.send_data(stream, b"\0" + len(message).to_bytes(4, "big") + message)
+
+
+async def raw(n: Consulted) -> Raw:
+    return Raw(*await connect(n.proxies))
+
+
+async def forwarded(proxy: Proxy) -> None:
+    """Ask until a request goes on: others may be refused for a while after a trouble, at once and unrun."""
+    async with asyncio.timeout(SOON):
+        while not (got := await proxy.ask("GET", "/balance/1")).forwarded:
+            assert got.reply
+            assert got.reply.not_run
+            await asyncio.sleep(0.05)
+
+
+def first_message(path: str) -> bytes:
+    proxy = Proxy.__new__(Proxy)
+    proxy.process = lambda: None
+    return proxy.begin("GET", path)[1].SerializeToString()
+
+
+def test_a_window_at_zero_holds_up_its_own_stream_alone() -> None:
+    async def check() -> None:
+        async with consulted() as n:
+            bad = await raw(n)
+            bad.http.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 0})
+            for i in range(20):
+                bad.send(bad.begin(), first_message(f"/balance/{i}"))
+            bad.flush()
+            await until(lambda: n.app.processors[0].open_requests() == 20)
+            await until(lambda: not n.app.processors[0].open_requests() and not n.app.core.requests)
+            await forwarded(n.proxy())
+            bad.writer.close()
+
+    play(check)
+
+
+def test_thousands_of_resets_at_once_leave_nothing_behind() -> None:
+    async def check() -> None:
+        async with consulted() as n:
+            bad = await raw(n)
+            for i in range(2000):
+                stream = bad.begin()
+                if i < 500:  # the window of the connection has room for no more
+                    bad.send(stream, first_message(f"/balance/{i}"))
+                bad.http.reset_stream(stream)
+                if i % 50 == 0:
+                    bad.flush()
+                    with contextlib.suppress(ConnectionError):
+                        await bad.writer.drain()
+            bad.flush()
+            await forwarded(n.proxy(wait=5.0))
+            bad.writer.close()
+            await until(lambda: not n.app.processors[0].open_requests() and not n.app.core.requests)
+
+    play(check)
+
+
+def test_headers_over_the_limit_and_a_flood_of_pings_cost_nobody_else() -> None:
+    async def check() -> None:
+        async with consulted() as n:
+            large, pings = await raw(n), await raw(n)
+            large.begin(**{"x-large": "y" * 15_000, "x-more": "z" * 15_000, "x-most": "a" * 15_000})
+            large.flush()
+            for i in range(5000):
+                pings.http.ping(i.to_bytes(8, "big"))
+            pings.flush()
+            await forwarded(n.proxy())
+            await until(lambda: n.app.processors[0].open_requests() == 0)
+            large.writer.close()
+            pings.writer.close()
+
+    play(check)
+
+
+# A process that stood still
+
+
+FILE = """
+node "n" stop="2s"
+work at-once=8 {{
+    class "balance" aim="600ms" deadline="3s" repeat="safe"
+    class "topup" aim="600ms" deadline="3s" worth=3 repeat="keyed" window="8s"
+    {cold}
+}}
+mapping "m" {{
+    route "topup" method="POST" path="/topup"
+    route "balance" path="/balance/*"
+}}
+listen "p" protocol="extproc" address="{proxies}" mapping="m" verdict="300ms"
+"""
+
+
+def test_what_came_while_the_process_stood_still_is_refused_and_nothing_is_continued_late() -> None:
+    async def check() -> None:
+        address = free_address()
+        log: list[Ran] = []
+        async with served(FILE.format(proxies=address, cold=""), address) as node:
+            proxy = Proxy(address.port, log, wait=5.0)
+            assert (await proxy.ask("GET", "/balance/0")).forwarded
+            os.kill(node.pid, signal.SIGSTOP)
+            asking = [asyncio.ensure_future(proxy.ask("GET", f"/balance/{i}")) for i in range(20)]
+            started = time.monotonic()
+            await until(lambda: time.monotonic() > started + 1.0)  # it stands still for so long
+            os.kill(node.pid, signal.SIGCONT)
+            got = await asyncio.gather(*asking)
+            assert {exchange.reply.status for exchange in got if exchange.reply} == {503}
+            assert all(exchange.reply and exchange.reply.not_run for exchange in got)
+            assert len(log) == 1
+            await forwarded(proxy)
+            await proxy.close()
+
+    play(check)
+
+
+# A rolling deploy
+
+
+def test_a_flood_while_two_of_three_nodes_are_replaced_leaves_nobody_without_a_verdict() -> None:
+    async def check() -> None:
+        log: list[Ran] = []
+        addresses = [free_address() for _ in range(3)]
+        got: list[Exchange] = []
+        lost: list[Exchange] = []
+
+        async def upstream(_: Exchange) -> tuple[int, bytes]:
+            await asyncio.sleep(0.02)
+            return 200, b"done"
+
+        def made(address: Address) -> Proxy:
+            proxy = Proxy(address.port, log, wait=0.5)
+            proxy.upstream = upstream
+            return proxy
+
+        proxies = [made(address) for address in addresses]
+
+        async def one(number: int) -> None:
+            """A proxy tries another node if the stream never reached the first."""
+            exchange = Exchange("GET", "", b"", {})
+            for step in range(3):
+                if not proxies[(number + step) % 3].healthy:
+                    continue
+                exchange = await proxies[(number + step) % 3].ask("GET", f"/balance/{number}")
+                if exchange.verdict_after >= 0:
+                    got.append(exchange)
+                    return
+                if exchange.code is not grpc.StatusCode.UNAVAILABLE:
+                    break
+            lost.append(exchange)
+
+        async with contextlib.AsyncExitStack() as stack:
+            nodes = [
+                await stack.enter_async_context(served(FILE.format(proxies=a, cold=""), a)) for a in addresses
+            ]
+            tasks = []
+            cold = "cold true\n cold-from 0.3\n warm-up \"2s\""
+
+            async def replace(which: int) -> None:
+                assert await nodes[which].ended() == 0
+                file = FILE.format(proxies=addresses[which], cold=cold)
+                await stack.enter_async_context(served(file, addresses[which]))
+
+            replacing = []
+            watching = [asyncio.ensure_future(proxy.watch()) for proxy in proxies]
+            for number in range(600):
+                tasks.append(asyncio.ensure_future(one(number)))
+                if number == 100:
+                    replacing = [asyncio.ensure_future(replace(which)) for which in (0, 1)]
+                await asyncio.sleep(0.008)
+            await asyncio.gather(*tasks, *replacing)
+            for proxy, watch in zip(proxies, watching, strict=True):
+                watch.cancel()
+                await proxy.close()
+        assert lost == []
+        assert len(got) == 600
+        assert max(exchange.verdict_after for exchange in got) < 0.5
+        assert sum(exchange.forwarded for exchange in got) > 300
+
+    play(check)
+
+
+# Certificates
+
+
+def write_certificate(authority: trustme.CA, folder: Path) -> None:
+    issued = authority.issue_cert("127.0.0.1")
+    issued.private_key_pem.write_to_path(str(folder / "key.pem"))
+    issued.cert_chain_pems[0].write_to_path(str(folder / "cert.pem"))
+
+
+def test_certificates_are_read_again_and_a_caller_without_one_is_not_heard(tmp_path: Path) -> None:
+    async def check() -> None:
+        old, new, callers = trustme.CA(), trustme.CA(), trustme.CA()
+        write_certificate(old, tmp_path)
+        callers.cert_pem.write_to_path(str(tmp_path / "ca.pem"))
+        mine = callers.issue_cert("proxy@example.org")
+        files = "\n".join(
+            f'{name} "{tmp_path / file}"'
+            for name, file in (("certificate", "cert.pem"), ("key", "key.pem"), ("client-ca", "ca.pem"))
+        )
+        async with consulted(consult=f"{{\n tls {{\n {files}\n }}\n}}") as n:
+
+            def proxy(authority: trustme.CA, known: bool) -> Proxy:
+                pair = (mine.private_key_pem.bytes(), mine.cert_chain_pems[0].bytes())
+                own = pair if known else (None, None)
+                tls = grpc.ssl_channel_credentials(authority.cert_pem.bytes(), *own)
+                return n.proxy(tls=tls, wait=2.0)
+
+            assert (await proxy(old, True).ask("GET", "/balance/1")).forwarded
+            assert not (await proxy(old, False).ask("GET", "/balance/2")).forwarded
+            write_certificate(new, tmp_path)
+            os.utime(tmp_path / "cert.pem", (1, 1))
+            assert (await proxy(new, True).ask("GET", "/balance/3")).forwarded
+            assert not (await proxy(old, True).ask("GET", "/balance/4")).forwarded
+
+    play(check)
+
+
+# Subrequests
+
+
+async def subrequest(address: Address, method: str, path: str, **headers: str) -> Reply:
+    reader, writer = await connect(address)
+    lines = [f"GET /auth HTTP/1.1\r\nHost: x\r\nX-Original-Method: {method}\r\nX-Original-URI: {path}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    try:
+        return await read_reply(reader)
+    finally:
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def subrequested(lease: str = "200ms", **changes: Any):  # type: ignore[no-untyped-def]
+    auth = free_address()
+    more = f'verdict="300ms"\nlisten "a" protocol="subrequest" address="{auth}" mapping="m" lease="{lease}"'
+    async with consulted(consult=more, **changes) as n:
+        yield n, auth
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("GET", "/balance/1", 200), ("GET", "/nowhere", 404), ("POST", "/topup", 400)],
+)
+def test_a_subrequests_status_is_the_verdict(method: str, path: str, status: int) -> None:
+    async def check() -> None:
+        async with subrequested() as (n, auth):
+            reply = await subrequest(auth, method, path)
+            assert reply.status == status
+            assert reply.not_run == (status != 200)
+            assert ("x-budget-left-ms" in reply.fields) == (status == 200)
+            await until(lambda: not n.app.core.requests)  # the lease is over
+
+    play(check)
+
+
+def test_a_subrequest_beyond_what_can_run_is_refused_with_advice() -> None:
+    async def check() -> None:
+        async with subrequested(lease="2s", at_once=1) as (n, auth):
+            assert (await subrequest(auth, "GET", "/balance/1")).status == 200
+            reply = await subrequest(auth, "GET", "/balance/2")
+            assert (reply.status, reply.not_run) == (403, True)
+            assert reply.advice > 0
+
+    play(check)
+
+
+def test_a_keyed_subrequest_is_let_go_once_in_its_window() -> None:
+    async def check() -> None:
+        async with subrequested() as (n, auth):
+            key = {"Idempotency-Key": "k"}
+            assert (await subrequest(auth, "POST", "/topup", **key)).status == 200
+            await until(lambda: not n.app.core.requests)
+            reply = await subrequest(auth, "POST", "/topup", **key)
+            assert (reply.status, reply.not_run) == (502, False)
+
+    play(check)
+
+
+def test_a_subrequest_that_gives_up_before_its_verdict_is_withdrawn() -> None:
+    async def check() -> None:
+        async with subrequested(lease="5s", at_once=1) as (n, auth):
+            go = asyncio.Event()
+            proxy = n.proxy()
+            proxy.upstream = slow(go)
+            holding = asyncio.ensure_future(proxy.ask("GET", "/balance/1"))
+            await until(lambda: n.forwarded)
+            _, writer = await connect(auth)
+            writer.write(b"GET /balance/2 HTTP/1.1\r\nHost: x\r\n\r\n")
+            await until(lambda: len(n.app.core.requests) == 2)
+            writer.close()
+            await until(lambda: len(n.app.core.requests) == 1)
+            go.set()
+            await holding
+
+    play(check)
+
+
+def test_grpc_is_not_imported_where_no_listener_speaks_it(tmp_path: Path) -> None:
+    path = tmp_path / "operator.kdl"
+    path.write_text(FILE.format(proxies="127.0.0.1:1", cold="").replace("extproc", "subrequest"))
+    code = (
+        "import sys\nfrom pathlib import Path\nfrom shelfhaven.server.app import App, load\n"
+        "from shelfhaven.server.log import Log\nimport asyncio\n"
+        "async def made():\n"
+        f"    config, operator = load(None, Path({str(path)!r}))\n"
+        "    App(config, Log('t', 2), None, operator, None)\n"
+        "asyncio.run(made())\nsys.exit('grpc' in sys.modules)\n"
+    )
+    assert os.spawnv(os.P_WAIT, sys.executable, [sys.executable, "-c", code]) == 0
--- a/tests/test_operatorfile.py
+++ b/tests/test_operatorfile.py
@@ -93,7 +93,11 @@
             'never reached: /topup',
         ),
         ('mapping="m"', 'mapping="n"', "f: listen \"g\" mapping: 'n' is no mapping"),
-        ('protocol="uwsgi"', 'protocol="http"', "protocol: 'http' is none of jsonrpc, uwsgi, extproc"),
+        (
+            'protocol="uwsgi"',
+            'protocol="http"',
+            "protocol: 'http' is none of jsonrpc, uwsgi, extproc, subrequest",
+        ),
         ('address="127.0.0.1:4101"', 'address="localhost:4101"', "address: not an address in numbers"),
         ('address="127.0.0.1:4101"', 'address="unix:run/x"', "not an absolute path"),
         ('address="127.0.0.1:4101"', 'address="127.0.0.1:99999"', "is not a port"),
