Processor out of time turns away a part of streams unread, so that other verdicts come in time

Cause: at 150% of one core's verdicts 4,351 of 5,590 consultations had no verdict in time: what waits to be accepted lies in the gRPC library, unseen, and proxies that gave up cost as much as those served. Change: Relief holds the process a little under its CPU and takes early give-ups as a sign; Streams looks at the loop's turns. What is turned away so promises nothing, as its key is not read.

--- a/shelfhaven/fronts/consulting.py
+++ b/shelfhaven/fronts/consulting.py
@@ -32,21 +32,28 @@
 
     def __init__(
         self, listen: Listen, mapping: Rules, runner: ProxyRunner, tell: ToCore, log: Log,
-        good: Callable[[], bool],
+        good: Callable[[], bool], cores: float,
     ) -> None:  # fmt: skip
         self.listen, self.mapping, self.runner, self.tell, self.log = listen, mapping, runner, tell, log
         self.good = good
         self.settings = listen.consult
         self.streams = consult.Streams(self.settings)
         self.lateness = consult.Lateness(BEAT, REMEMBERED)
+        self.relief = consult.Relief(cores)
         self.answered: Counter[tuple[int, str]] = Counter()  # by class and kind, since the last look
         self.beat: asyncio.TimerHandle | None = None
 
     def keep_time(self) -> None:
         """Note how late the loop is, from now on."""
-        self.lateness.beat(time.monotonic())
+        now = time.monotonic()
+        self.lateness.beat(now)
+        self.relief.look(now, time.process_time())
         self.beat = asyncio.get_running_loop().call_later(BEAT, self.keep_time)
 
+    def admit(self) -> bool:
+        """Count one more consultation, if there is room and time for it."""
+        return self.streams.admit(self.lateness.turn, self.relief.turns_away())
+
     def open_requests(self) -> int:
         """Consultations that are open."""
         return self.streams.open
@@ -54,8 +61,9 @@
     def load_now(self) -> dict[str, Any]:
         """What was asked and answered since the last look, for the log."""
         answered, self.answered = self.answered, Counter()
-        told = {f"{cls} {kind}": count for (cls, kind), count in answered.items()}
-        return {"streams": self.streams.open, "turned_away": self.streams.turned_away, **told}
+        told: dict[str, Any] = {f"{cls} {kind}": count for (cls, kind), count in answered.items()}
+        away = {"turned_away": self.streams.turned_away, "part_turned_away": round(self.relief.part, 2)}
+        return {"streams": self.streams.open, **away, **told}
 
 
 class Asking(ABC):
@@ -146,6 +154,7 @@
                         self.lease.cancel()
                     self.desk.runner.ended(self.call, action.outcome, action.spent, action.result)
                 case consult.Withdraw():
+                    self.desk.relief.given_up += 1
                     self.desk.tell(m.Cancel(self, 1, action.may_run))
                 case consult.Fault():
                     self.desk.log.event("proxy_fault", peer=self.peer, text=action.text)
--- a/shelfhaven/fronts/extproc.py
+++ b/shelfhaven/fronts/extproc.py
@@ -210,11 +210,11 @@
 
     def __init__(
         self, listen: Listen, mapping: Mapping, runner: ProxyRunner, tell: ToCore, log: Log,
-        good: Callable[[], bool],
+        good: Callable[[], bool], cores: float,
     ) -> None:  # fmt: skip
-        super().__init__(listen, mapping, runner, tell, log, good)
-        turned_away = consult.Immediate(503, "too many consultations; nothing ran", True, FULL_PAUSE)
-        self.full = immediate(turned_away, None, "")  # made once: what is turned away must cost least
+        super().__init__(listen, mapping, runner, tell, log, good, cores)
+        turned_away = consult.Immediate(503, "not looked at: too many consultations", False, FULL_PAUSE)
+        self.full = immediate(turned_away, None, "")  # made once; no promise: its key was not read
         self.server: Any = None
         self.port = 0
         self.stopping: asyncio.Future[None] | None = None
@@ -257,7 +257,7 @@
 
     async def _process(self, _: Any, context: Any) -> None:
         """One stream: each message has its answer, and its end is told whatever ends it."""
-        if not self.streams.admit():
+        if not self.admit():
             if await context.read() is not grpc.aio.EOF:
                 await context.write(self.full)
             return
--- a/shelfhaven/fronts/subrequest.py
+++ b/shelfhaven/fronts/subrequest.py
@@ -87,9 +87,9 @@
 
     def __init__(
         self, listen: Listen, mapping: Mapping, runner: ProxyRunner, tell: ToCore, log: Log,
-        good: Callable[[], bool],
+        good: Callable[[], bool], cores: float,
     ) -> None:  # fmt: skip
-        super().__init__(listen, mapping, runner, tell, log, good)
+        super().__init__(listen, mapping, runner, tell, log, good, cores)
         self.server = HTTPServer(
             self._asked, max_header_size=HEADERS_MOST, max_body_size=self.settings.body_most,
             idle_connection_timeout=60.0, body_timeout=listen.within,
@@ -115,9 +115,9 @@
         if request.path == self.listen.health:
             self._write(request, 200 if self.good() else 503, HTTPHeaders(), b"")
             return
-        if not self.streams.admit():
-            fields = HTTPHeaders({"X-Not-Run": "1", "Retry-After": str(math.ceil(FULL_PAUSE))})
-            self._write(request, self.listen.refuse_status, fields, b"too many consultations; nothing ran\n")
+        if not self.admit():
+            fields = HTTPHeaders({"Retry-After": str(math.ceil(FULL_PAUSE))})
+            self._write(request, self.listen.refuse_status, fields, b"not looked at\n")
             return
         asking = Subrequest(self, request.remote_ip or "unix", request)
         connection: Any = request.connection
--- a/shelfhaven/routing/consult.py
+++ b/shelfhaven/routing/consult.py
@@ -18,6 +18,14 @@
 
 ERRORS_FROM = 500  # statuses from here on are failed runs
 REFUSED_BELOW = (429, 503)  # with the statement that nothing ran
+VERDICT_TURNS = 6.0  # of the loop, from a stream's start to its verdict on the wire
+TURNS_PART = 0.5  # of the verdict's time that these may take before streams are turned away
+RELIEF_EVERY = 0.1  # seconds between looks
+RELIEF_BUSY = 0.88  # of the time that the loop has, in use at most: the rest is for bursts
+RELIEF_GAIN = 0.6  # of streams turned away more, a look, for all the time over that
+RELIEF_GIVEN_UP = 0.25  # what proxies that give up count as, in time over that
+RELIEF_MOST = 0.95  # of streams: some must come in to see that there is time again
+TURN_GAIN = 0.4  # weight of a beat in the mean turn: the last two or three
 SERVED_FROM, SERVED_TO = 200, 299  # statuses whose result is kept for repeats
 
 
@@ -296,9 +304,15 @@
         self.settings = settings
         self.open = self.held = self.turned_away = 0
 
-    def admit(self) -> bool:
-        """Count one more stream if there is room."""
-        if self.open >= self.settings.streams_most:
+    def admit(self, turn: float, relieved: bool = False) -> bool:
+        """Count one more stream if there is room, and time: `turn` is how long a turn of the loop takes now,
+        `relieved` that this one is to be turned away for the others' sake.
+
+        A verdict takes several turns, and all streams in hand share each of them: past that, one more makes
+        all of them late, while one that is turned away takes half the work.
+        """
+        late = turn * VERDICT_TURNS > TURNS_PART * self.settings.within
+        if relieved or late or self.open >= self.settings.streams_most:
             self.turned_away += 1
             return False
         self.open += 1
@@ -316,6 +330,38 @@
         self.open -= 1
 
 
+class Relief:
+    """Which part of new streams is turned away unread, so that the verdicts of the others come in time.
+
+    What waits to be accepted cannot be seen here; that the process has no time left can. A loop on its own
+    time in use holds that a little under all; proxies that give up before a verdict count as no time left.
+    """
+
+    def __init__(self, cores: float) -> None:
+        self.cores = min(1.0, cores)  # a loop has one at most
+        self.part = self.owed = 0.0
+        self.looked_at, self.spent = 0.0, 0.0
+        self.given_up = 0  # since the last look
+
+    def look(self, now: float, spent: float) -> None:
+        """Look at the CPU seconds that the process has used so far; too soon, it changes nothing."""
+        if self.looked_at and now - self.looked_at < RELIEF_EVERY:
+            return
+        if self.looked_at:
+            busy = (spent - self.spent) / ((now - self.looked_at) * self.cores)
+            over = max(busy - RELIEF_BUSY, RELIEF_GIVEN_UP if self.given_up else -1.0)
+            self.part = min(RELIEF_MOST, max(0.0, self.part + RELIEF_GAIN * over))
+        self.looked_at, self.spent, self.given_up = now, spent, 0
+
+    def turns_away(self) -> bool:
+        """Whether a new stream is turned away: evenly, by the part that is owed."""
+        self.owed += self.part
+        if self.owed < 1.0:
+            return False
+        self.owed -= 1.0
+        return True
+
+
 class Lateness:
     """How late the loop is: what is read after a pause may have come at its beginning."""
 
@@ -323,9 +369,12 @@
         self.every, self.remembered = every, remembered  # seconds between beats; that a pause counts
         self.beat_due = 0.0
         self.late, self.until = 0.0, 0.0
+        self.turn = 0.0  # mean time by which beats come late: what a turn of the loop takes
 
     def beat(self, now: float) -> float:
         """A beat of the loop; when the next one is due."""
+        if self.beat_due:
+            self.turn += TURN_GAIN * (max(0.0, now - self.beat_due) - self.turn)
         if self.beat_due and now - self.beat_due > self.every:
             self.late, self.until = now - self.beat_due, now + self.remembered
         self.beat_due = now + self.every
--- a/shelfhaven/server/app.py
+++ b/shelfhaven/server/app.py
@@ -161,7 +161,8 @@
             self.proxies = ProxyRunner(self.config.settings.cores, tell, log)
         good = lambda: self.core.good and not self.core.draining  # noqa: E731
         mapping = self.mappings[listen.mapping]
-        self.processors.append(kind(listen, mapping, self.proxies, tell, log, good))
+        cores = self.config.limits.cores
+        self.processors.append(kind(listen, mapping, self.proxies, tell, log, good, cores))
 
     def _gateways(self, listen: Listen) -> Listener:
         from shelfhaven.fronts.uwsgi import GatewayConnection
