--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,9 @@
-.PHONY: test
+.PHONY: test protos
 test:
 	ruff check .
 	mypy
 	python -m pytest
+
+# needs grpcio-tools 1.85.1 beside the tools of requirements.txt
+protos:
+	python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. shelfhaven/protocol/pb/*.proto
--- a/shelfhaven/lab/demo.py
+++ b/shelfhaven/lab/demo.py
@@ -1,4 +1,4 @@
-"""The demo: a node between stand-in vendors, gateways and routers, beyond capacity, one server dying.
+"""The demo: a node between stand-in vendors, gateways, routers and a proxy, beyond capacity.
 
 Owns the scenario and its table. It must never judge by the node's own account: the table comes from the
 callers' and the servers' logs, the rules from checker.py.
@@ -14,16 +14,19 @@
 from random import Random
 
 import click
+import grpc
 
 from shelfhaven.config import Address
 from shelfhaven.lab import checker
 from shelfhaven.lab.callers import LOST, NOT_REACHED, Reply, Router, ask, connect
 from shelfhaven.lab.checker import Kind, Try
 from shelfhaven.lab.node import free_address, served
-from shelfhaven.lab.vendor import Ran, Vendor
+from shelfhaven.lab.proxy import Exchange, Proxy
+from shelfhaven.lab.vendor import Ran, Vendor, made
 
 SERVERS, WORKERS, MEAN = 4, 4, 0.1  # seconds of a run
-CAPACITY = SERVERS * WORKERS / MEAN  # requests a second
+CAPACITY = (SERVERS + 1) * WORKERS / MEAN  # requests a second, of the vendors and behind the proxy
+PROTOCOLS = ("uwsgi", "jsonrpc", "extproc")
 TOPUPS = 0.3  # part of requests that are top-ups
 REPEATED = 0.3  # part of top-ups that are repeated over the other protocol, answered or not
 AIMS = {"balance": (0.5, 1.5), "topup": (2.0, 4.0)}  # aim and deadline, as in the file below
@@ -47,6 +50,7 @@
 }}
 listen "gateways" protocol="uwsgi" address="{gateways}" mapping="vendors"
 listen "routers" protocol="jsonrpc" address="{routers}"
+listen "proxies" protocol="extproc" address="{proxies}" mapping="vendors" verdict="400ms" margin="50ms"
 pool "vendors" {{
 {servers}
     runs "topup" path="/topup"
@@ -58,8 +62,10 @@
 class Load:
     """Callers of both protocols; each try and what it was answered is kept."""
 
-    def __init__(self, gateways: Address, routers: Address, seed: int) -> None:
-        self.gateways, self.routers = gateways, routers
+    def __init__(self, gateways: Address, routers: Address, proxy: Proxy, seed: int) -> None:
+        self.gateways, self.routers, self.proxy = gateways, routers, proxy
+        self.behind = asyncio.Semaphore(WORKERS)  # the service behind the proxy
+        proxy.upstream = self._service
         self.random = Random(seed)
         self.tries: list[Try] = []
         self.links: list[Router] = []
@@ -76,7 +82,7 @@
         self.names += 1
         name = f"r{self.names}"
         topup = self.random.random() < TOPUPS
-        protocols = ["uwsgi", "jsonrpc"]
+        protocols = list(PROTOCOLS)
         self.random.shuffle(protocols)
         tenant = self.random.choice(["retail", "bank"])
         self._spawn(self._one(protocols[0], name, topup, tenant))
@@ -92,7 +98,7 @@
         if after:
             await asyncio.sleep(after)
         cls = "topup" if topup else "balance"
-        path = "/topup" if topup else f"/balance/{name}" if protocol == "uwsgi" else "/balance/any"
+        path = "/topup" if topup else "/balance/any" if protocol == "jsonrpc" else f"/balance/{name}"
         body = name.encode() if topup or protocol == "jsonrpc" else b""
         aim, deadline = AIMS[cls]
         now = time.time()
@@ -100,6 +106,8 @@
         self.tries.append(one)
         if protocol == "uwsgi":
             await self._gateway(one)
+        elif protocol == "extproc":
+            await self._consult(one)
         else:
             await self._router(one)
 
@@ -116,6 +124,22 @@
         elif reply.status:
             one.answered(time.time(), kind_of(reply), reply.body, reply.advice)
 
+    async def _service(self, exchange: Exchange) -> tuple[int, bytes]:
+        """What the proxy forwards to: as many workers as one of the vendors."""
+        async with self.behind:
+            await asyncio.sleep(MEAN * (0.5 + self.random.random()))
+        return 200, made(exchange.body, exchange.path)
+
+    async def _consult(self, one: Try) -> None:
+        headers = {"x-tenant": one.tenant} | ({"idempotency-key": one.key} if one.key else {})
+        got = await self.proxy.ask("POST" if one.key else "GET", one.path, one.body, **headers)
+        if got.code is grpc.StatusCode.UNAVAILABLE:
+            one.answered(time.time(), Kind.NOT_REACHED)
+        elif got.reply:
+            kind = Kind.REFUSED if got.reply.not_run else Kind.FAILED
+            kind = Kind.SERVED if got.reply.status == 200 else kind
+            one.answered(time.time(), kind, got.reply.body, got.reply.advice)
+
     async def _router(self, one: Try) -> None:
         link = self.random.choice(self.links)
         if link.ended or link.told_to_leave():
@@ -153,7 +177,7 @@
 def table(tries: list[Try], runs: list[Ran]) -> str:
     """What was asked and answered, by protocol."""
     rows = [f"{'':10}{'asked':>8}{'in time':>9}{'late':>7}{'refused':>9}{'with advice':>13}{'failed':>8}"]
-    for protocol in ("uwsgi", "jsonrpc"):
+    for protocol in PROTOCOLS:
         mine = [one for one in tries if one.protocol == protocol]
         kinds: Counter[str] = Counter()
         for one in mine:
@@ -180,16 +204,19 @@
     vendors = [Vendor(f"vendor-{n}", runs, WORKERS, MEAN, seed + n) for n in range(SERVERS)]
     for vendor in vendors:
         await vendor.start()
-    gateways, routers = free_address(), free_address()
+    gateways, routers, proxies = free_address(), free_address(), free_address()
     servers = "\n".join(f'    server "{vendor.address}"' for vendor in vendors)
-    text = FILE.format(gateways=gateways, routers=routers, servers=servers, at_once=SERVERS * WORKERS)
-    callers = Load(gateways, routers, seed)
-    async with served(text, routers) as node:
+    places = {"gateways": gateways, "routers": routers, "proxies": proxies, "servers": servers}
+    text = FILE.format(**places, at_once=(SERVERS + 1) * WORKERS)
+    proxy = Proxy(proxies.port, runs, wait=1.0)
+    callers = Load(gateways, routers, proxy, seed)
+    async with served(text, proxies) as node:
         await callers.open()
         leaving = asyncio.get_running_loop().call_later(drain_at * seconds, node.leave)
         await _drive(callers, vendors if dying else [], seconds, load, seed, progress)
         leaving.cancel()
         code = await node.ended()
+    await proxy.close()
     for vendor in vendors:
         vendor.stop()
     return callers.tries, runs, code
@@ -223,8 +250,9 @@
 def main(seconds: float, load: float, seed: int) -> int:
     """Play and print; 1 if a rule was broken."""
     click.echo(
-        f"{SERVERS} stand-in servers that can do {CAPACITY:.0f} requests a second, {load:g} times as many "
-        f"asked; one server dies at {DYING_AT:.0%} of the time and is back at {BACK_AT:.0%}"
+        f"{SERVERS} stand-in servers and a service behind a proxy that can do {CAPACITY:.0f} requests a "
+        f"second, {load:g} times as many asked; one server dies at {DYING_AT:.0%} of the time and is back at "
+        f"{BACK_AT:.0%}"
     )
     tries, runs, code = asyncio.run(play(seconds, load, seed))
     click.echo(table(tries, runs))
