A key whose launch crosses a fail-open proxy's leaving is kept as run

Cause: a keyed consultation launched while its proxy gave up came back as never begun, and its key was freed, though a proxy that fails open may have forwarded it (core._cancel looked at held requests only). Change: the request remembers that it may run out of sight; its key is kept when the runner says that it never began.

--- a/shelfhaven/routing/consult.py
+++ b/shelfhaven/routing/consult.py
@@ -143,11 +143,6 @@
         """Whether the verdict was given."""
         return self.stage in DECIDED
 
-    @property
-    def lease_end(self) -> float:
-        """When the run is over if nothing is heard of it."""
-        return self.continued_at + self.settings.lease
-
     # The proxy asks
 
     def headers(self, end: bool) -> list[Action]:
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -97,6 +97,7 @@
     launched: bool = False
     since: float = 0.0  # when the reuse or the call began
     same_as: int = 0
+    unsure: bool = False  # its caller left, and may have had it run out of sight
     notice: int = 0  # of the call that the run waits for
     call_body: bytes = b""
     waiters: list[int] = field(default_factory=list)
@@ -282,7 +283,8 @@
         if request is None:
             return
         request.owed = Owed.RELEASED
-        if cancel.may_run and request.stage is Stage.HELD and request.submit.dedupe:
+        request.unsure = cancel.may_run and bool(request.submit.dedupe)
+        if request.unsure and request.stage is Stage.HELD:
             self.unsure.append(request)
         self.events.append(i.Gone(request.id))
 
@@ -299,6 +301,8 @@
         self._drop_call(request)
         if end in UNPLACED:  # a refusal may promise that it never ran
             request.launched = False
+            if request.unsure:  # its launch crossed the end of its stream
+                self.unsure.append(request)
         self._over(request, body if end is i.Outcome.OK else None)
         if end is i.Outcome.OK:
             self._answer(request, m.Served(request.submit.ref, body or b"", self.load))
--- a/tests/test_consult.py
+++ b/tests/test_consult.py
@@ -117,7 +117,6 @@
 
 def test_a_lease_ends_a_run_that_nothing_is_heard_of_and_what_comes_later_means_nothing() -> None:
     of = continued()
-    assert of.lease_end == pytest.approx(1.1)
     assert of.lease_out(1.1) == [ended(Outcome.TIMEOUT, 1.0, None)]
     assert of.response_headers(1.2, 200, False, True) == [c.PassOn()]
     assert of.unheard == 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -648,3 +648,38 @@
         assert [type(a) for a in b.answers(1)] == [m.Served]
 
     bench(check)
+
+
+@pytest.mark.parametrize("crossing", [False, True])
+def test_a_key_that_may_have_run_out_of_sight_is_never_run_again_in_its_window(crossing: bool) -> None:
+    def check(b: Bench) -> None:
+        running = [b.submit(ref) for ref in (1, 2)]
+        if crossing:  # launched, and its caller's leaving comes before the runner's word that it never began
+            b.end(running[0])
+        call = b.submit(3, PAY, "k")
+        b.tell(m.Cancel(b.front, 3, may_run=True))
+        if crossing:
+            b.tell(m.RunDone(call, i.Outcome.CONNECT_FAILED, 0.0))
+        for one in running:
+            b.end(one)
+        b.submit(4, PAY, "k")
+        assert [type(a) for a in b.answers(4)] == [m.Failed]
+        assert (call in b.launched()) is crossing
+        b.later(5.0)  # the window is over
+        b.submit(5, PAY, "k")
+        assert f"{5:016x}" in b.launched()
+
+    bench(check)
+
+
+def test_a_key_that_was_withdrawn_unrun_is_free() -> None:
+    def check(b: Bench) -> None:
+        running = [b.submit(ref) for ref in (1, 2)]
+        b.submit(3, PAY, "k")
+        b.tell(m.Cancel(b.front, 3))
+        for one in running:
+            b.end(one)
+        again = b.submit(4, PAY, "k")
+        assert again in b.launched()
+
+    bench(check)
