--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -301,6 +301,17 @@
     play(check)
 
 
+def test_a_stream_that_sends_nothing_holds_its_place_for_a_moment_only() -> None:
+    async def check() -> None:
+        async with consulted() as n:
+            stream = n.proxy().process()
+            await until(lambda: n.app.processors[0].open_requests() == 1)
+            await until(lambda: n.app.processors[0].open_requests() == 0)
+            assert await stream.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+
+    play(check)
+
+
 def test_streams_beyond_the_bound_are_refused_as_unrun() -> None:
     async def check() -> None:
         async with consulted(consult="streams=1") as n:
