Results held for proxies stay within the bytes that the operator allows

Cause, found on reading again: bytes that had no room were only refused before a verdict; a result that came in parts after it was held all the same, uncounted, up to body-most on each stream (Stream._note_held). Change: without room the result is dropped at once, its run went well, and its repeats get 502 (Consultation.no_room). Result: the new test is over before the rest of the result has come; gRPC listeners only, the platform's path is untouched.

--- a/shelfhaven/fronts/extproc.py
+++ b/shelfhaven/fronts/extproc.py
@@ -120,7 +120,7 @@
                 actions = c.trailers(now, kind == "response_trailers")
             case _:
                 return None  # a kind that is not known here asks for nothing
-        self._note_held(len(c.body))
+        actions += self._hold(now)
         return await self._answer_to(actions, str(kind))
 
     def _headers(self, headers: extproc_pb2.HttpHeaders) -> list[consult.Action]:
@@ -133,11 +133,14 @@
             return self.consultation.invalid(fault.status, str(fault))
         return self.consultation.headers(headers.end_of_stream)
 
-    def _note_held(self, now_held: int) -> None:
-        if self.desk.streams.hold(now_held - self.held):
-            self.held = now_held
-        elif not self.consultation.decided:
-            raise Fault(503, "too many bodies in hand")
+    def _hold(self, now: float) -> list[consult.Action]:
+        """Count what is held of a result; without room for it, none is."""
+        c = self.consultation
+        actions = [] if self.desk.streams.hold(len(c.body) - self.held) else c.no_room(now)
+        if actions:
+            self.desk.streams.hold(-self.held)
+        self.held = len(c.body)
+        return actions
 
     async def _answer_to(self, actions: list[consult.Action], kind: str) -> bytes | None:
         """The answer to the message in hand, which may have to wait for the verdict."""
--- a/shelfhaven/routing/consult.py
+++ b/shelfhaven/routing/consult.py
@@ -252,6 +252,12 @@
             return [PassOn(), *self._end(Outcome.OK, spent, bytes(self.body))]
         return [PassOn()]
 
+    def no_room(self, now: float) -> list[Action]:
+        """There is no room to hold more of its result: the run went well, its repeats get no result."""
+        if self.stage is not Stage.RESULT:
+            return []
+        return self._end(Outcome.OK, now - self.continued_at, None)
+
     def trailers(self, now: float, of_response: bool) -> list[Action]:
         """Trailers end a body that came in parts."""
         if of_response and self.stage is Stage.RESULT:
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -301,6 +301,31 @@
     play(check)
 
 
+def test_a_result_that_there_is_no_room_for_is_not_held() -> None:
+    async def check() -> None:
+        async with consulted(consult='bytes="1KB"') as n:
+            proxy = n.proxy()
+
+            async def some(_: Exchange) -> tuple[int, bytes]:
+                return 200, b"x" * 2000
+
+            proxy.upstream = some
+            stream, first, exchange = proxy.begin("POST", "/topup", b"five", **KEYED)
+            response = await proxy._verdict(stream, first, exchange)
+            assert response is not None
+            ok = extproc_pb2.HttpHeaders(headers=header_map({":status": "200"}))
+            part = extproc_pb2.HttpBody(body=b"x" * 2000, end_of_stream=False)
+            for message in (Request(response_headers=ok), Request(response_body=part)):
+                await proxy._turn(stream, message)
+            await until(lambda: not n.app.core.requests)  # over before the rest has come
+            assert n.app.processors[0].streams.held == 0
+            again = await proxy.ask("POST", "/topup", b"five", **KEYED)
+            assert again.reply
+            assert (again.reply.status, again.forwarded) == (502, False)
+
+    play(check)
+
+
 def test_a_stream_that_sends_nothing_holds_its_place_for_a_moment_only() -> None:
     async def check() -> None:
         async with consulted() as n:
