Connections close in order; ended peers and requests beside bad bytes get their answers

A request read together with bytes that cannot be cut was dropped: Cutter.feed built a list and raised before giving it back (jsonrpc.py, feed), and RouterConnection._feed left its loop at the first message that could not be read, so requests behind it in the same read were passed over. Messages are now given one by one, and the rest of a read is taken before the connection ends. 2. A peer that ended its sending side (by TCP one direction only) lost its answers: Tornado closes the descriptor on an end of stream. DetachableStream parts with the socket instead; what is owed goes out over it. A peer that is gone altogether resets on the notice 'shutdown' sent first, and is let go. 3. Closes went over unread bytes (run, _close_if_done, Listener.end): the reset may overtake an answer. Now this side's stream is ended, the peer's end awaited for half a second at most, and the bytes that come after stay unread: nothing that comes then is run. 4. At the end of a drain a connection with half a request was closed on; it is waited for as long as the time to leave allows. 5. A backlog taken at the end with all descriptors in use stopped at EMFILE; idle connections make room. 6. Room was made before knowing whether another waits: one newcomer cost up to eight idle connections twice over. One at a time now; connections that only wait for the peer's end go first. 7. Answers that nobody takes were held without bound: dropped once no request may wait any longer. 8. A port still in use was waited for 3 s; it is 20 s now (30 s are allowed).

--- a/shelfhaven/fronts/jsonrpc.py
+++ b/shelfhaven/fronts/jsonrpc.py
@@ -8,13 +8,12 @@
 
 import time
 
-from tornado.iostream import IOStream
-
 from shelfhaven.config import Config
 from shelfhaven.decision.interface import Repeat
 from shelfhaven.fronts.connection import Connection, ToCore, Unreadable
+from shelfhaven.fronts.stream import DetachableStream
 from shelfhaven.protocol import jsonrpc as wire
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 OPEN_MOST = 32  # requests on a connection, by the protocol
@@ -28,14 +27,19 @@
         self.classes = {name: place for place, name in enumerate(config.classes)}
         self.keyed = {place for place, c in enumerate(config.settings.classes) if c.repeat is Repeat.KEYED}
         self.tenants = {name: place for place, name in enumerate(config.tenants)}
+        # seconds; an answer that is not taken for so long comes too late for any request
+        self.longest_wait = max(c.deadline for c in config.settings.classes)
 
 
 class RouterConnection(Connection):
     """Actor of one router's connection."""
 
-    def __init__(self, stream: IOStream, names: Names, tell: ToCore, log: Log) -> None:
+    probe = wire.SHUTDOWN
+
+    def __init__(self, stream: DetachableStream, names: Names, tell: ToCore, log: Log) -> None:
         super().__init__(stream, tell, log)
         self.names = names
+        self.unread_most = names.longest_wait
         self.cutter = wire.Cutter()
         self.told = False  # that no new request is wanted on it
 
@@ -44,12 +48,23 @@
         return bool(self.cutter.unread)
 
     def _feed(self, data: bytes) -> None:
+        """Take the messages in new bytes.
+
+        A message that cannot be read ends the connection, but requests that were read with it are owed
+        their answers: those before it, and those behind it as far as the stream can be cut.
+        """
+        fault = ""  # not the exception: kept here, it would hold this frame, and the frame the connection
         try:
             for body in self.cutter.feed(data):
                 self._came()
-                self._message(wire.decode(body))
+                try:
+                    self._message(wire.decode(body))
+                except wire.StreamError as error:
+                    fault = fault or str(error)
         except wire.StreamError as error:
-            raise Unreadable(str(error)) from error
+            fault = fault or str(error)
+        if fault:
+            raise Unreadable(fault)
 
     def _last_words(self, error: Unreadable) -> bytes:
         return wire.UNREADABLE
@@ -61,16 +76,16 @@
             case wire.Cancel():
                 if message.id in self.open:
                     self.open.discard(message.id)
-                    self.tell(m.Cancel(self, message.id))
+                    self.tell(messages.Cancel(self, message.id))
                     # not owed, but harmless: who only asks and takes back is answered too
                     self.outgoing.append(wire.error(message.id, wire.CANCELLED, "taken back", None))
             case wire.Check():
                 self.checks = True
                 self._claim(message.id)
-                self.tell(m.Check(self, message.id))
+                self.tell(messages.Check(self, message.id))
             case wire.Invalid():
                 self._claim(message.id)
-                self.tell(m.Reject(self, message.id, message.code, message.message))
+                self.tell(messages.Reject(self, message.id, message.code, message.message))
 
     def _claim(self, ref: int) -> None:
         if ref in self.open:
@@ -82,18 +97,22 @@
         cls = self.names.classes.get(request.cls)
         tenant = self.names.tenants.get(request.org, -1 if request.org else 0)
         if cls is None:
-            self.tell(m.Reject(self, request.id, wire.NO_METHOD, "unknown method"))
+            self.tell(messages.Reject(self, request.id, wire.NO_METHOD, "unknown method"))
         elif tenant < 0:
-            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "org: unknown"))
+            self.tell(messages.Reject(self, request.id, wire.INVALID_PARAMS, "org: unknown"))
         elif cls in self.names.keyed and not request.dedupe:
-            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "dedupe: missing in a keyed class"))
+            self.tell(
+                messages.Reject(self, request.id, wire.INVALID_PARAMS, "dedupe: missing in a keyed class")
+            )
         elif abs(time.time() - request.recv / 1000) > RECV_OFF:
-            self.tell(m.Reject(self, request.id, wire.INVALID_PARAMS, "recv: far from this machine's clock"))
+            self.tell(
+                messages.Reject(self, request.id, wire.INVALID_PARAMS, "recv: far from this machine's clock")
+            )
         elif len(self.open) > OPEN_MOST:
-            self.tell(m.Reject(self, request.id, wire.INVALID_REQUEST, "too many open requests"))
+            self.tell(messages.Reject(self, request.id, wire.INVALID_REQUEST, "too many open requests"))
         else:
             self.tell(
-                m.Submit(
+                messages.Submit(
                     front=self,
                     ref=request.id,
                     call=request.call,
@@ -118,14 +137,14 @@
             self.told = True
             self.stream.write(wire.SHUTDOWN)
 
-    def _encode(self, answer: m.Answer) -> bytes:
+    def _encode(self, answer: messages.Answer) -> bytes:
         match answer:
-            case m.Served():
+            case messages.Served():
                 return wire.served(answer.ref, answer.body, answer.load)
-            case m.Refused():
+            case messages.Refused():
                 pushback = round(answer.retry_after * 1000, 3)
                 return wire.error(answer.ref, wire.REFUSED, "refused", answer.load, pushback, answer.stay)
-            case m.Failed():
+            case messages.Failed():
                 return wire.error(answer.ref, answer.code or wire.FAILED, answer.text, answer.load)
-            case m.Healthy():
+            case messages.Healthy():
                 return wire.health(answer.ref, answer.good, answer.load)
--- a/shelfhaven/fronts/listener.py
+++ b/shelfhaven/fronts/listener.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import itertools
 import socket
 import stat
 import time
@@ -16,11 +17,11 @@
 from typing import TypeAlias
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream
 
 from shelfhaven.config import Address
-from shelfhaven.fronts.connection import Connection, Unreadable
-from shelfhaven.server import messages as m
+from shelfhaven.fronts.connection import Connection, ConnectionState, Unreadable
+from shelfhaven.fronts.stream import DetachableStream
+from shelfhaven.server import messages
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading
@@ -29,10 +30,13 @@
 SWEEP_LEAST = 0.05  # seconds between looks at idle connections; a request crosses a close within 50 ms
 WATCH = 0.25  # seconds between looks at connections that keep one waiting
 ROOM_AT_ONCE = 8  # connections closed at a time when all are taken
+END_LOOK = 0.02  # seconds between looks for connections that can be closed at the end
 FULL_PAUSE = 0.05  # seconds without accepting when descriptors run out
 TIMED_OUT = 408  # the code of what did not come whole in time, where a front has codes
 
-Maker: TypeAlias = Callable[[IOStream, str], Connection]  # of a connection, from its stream and its peer
+Maker: TypeAlias = Callable[
+    [DetachableStream, str], Connection
+]  # of a connection, from its stream and its peer
 
 
 def _remove_stale(path: Path) -> None:
@@ -54,7 +58,7 @@
     def __init__(self, listeners: Sequence[Listener]) -> None:
         self.listeners = listeners
 
-    def put(self, message: m.KeepIdle) -> None:
+    def put(self, message: messages.KeepIdle) -> None:
         """Take how long connections without a request stay."""
         for listener in self.listeners:
             listener.put(message)
@@ -73,7 +77,7 @@
         self.socket: socket.socket | None = None
         self.accepting = False
         self.leaving = False
-        self.mailbox: Mailbox[m.KeepIdle] = Mailbox(self._take, log)
+        self.mailbox: Mailbox[messages.KeepIdle] = Mailbox(self._take, log)
         self.kept_idle = 0.0  # seconds; 0: as long as routers like
         self.sweep: asyncio.TimerHandle | None = None
         self.watch: asyncio.TimerHandle | None = None
@@ -117,11 +121,13 @@
         self._accept(last=False)
 
     def _accept(self, last: bool) -> None:
+        made_room = False
         while self.socket:
             if last:  # the backlog is owed, whatever it takes
                 self.descriptors.routers += 1
             elif not self._take_room():
-                if self._make_room():
+                if not made_room and self._make_room():
+                    made_room = True
                     continue
                 self.log.event("connections_full", open=len(self.connections))
                 self._pause_a_moment()
@@ -135,41 +141,50 @@
                 self.descriptors.routers -= 1
                 if error.errno in (errno.ECONNABORTED, errno.EPROTO):
                     continue  # that connection was given up before it was accepted
+                if last and error.errno in (errno.EMFILE, errno.ENFILE) and self._make_room():
+                    continue
                 self.log.event("accept_failed", error=str(error))
                 self._pause_a_moment()
                 return
             self._adopt(accepted, str(peer[0]) if peer else "unix")
+            if made_room and not last:
+                return  # if others wait, the next turn of the loop tells: no room is made for nobody
 
     def _take_room(self) -> bool:
         return (not self.most or len(self.connections) < self.most) and self.descriptors.take_router()
 
     def _make_room(self) -> bool:
-        """Close connections that nobody uses, those that never asked anything first: others wait to ask."""
+        """Close connections that nobody uses, as others wait to ask: first those that wait for their peer's
+        end, then those that never asked anything.
+        """
+        closing = [c for c in self.connections if c.state is ConnectionState.CLOSING]
+        unused = closing or self._spare()
+        for connection in unused:
+            connection.drop()
+            self._gone(connection)
+        return bool(unused)
+
+    def _spare(self) -> list[Connection]:
+        """Connections that nobody uses, those that never asked anything first; a few at a time."""
         now = time.monotonic()
-        closed = 0
-        for connection in sorted(self.connections, key=lambda c: (not c.silent, c.used)):
-            if connection.spare(now):
-                connection.stream.close()
-                self._gone(connection)
-                closed += 1
-                if closed == ROOM_AT_ONCE:
-                    break
-        return closed > 0
+        by_use = sorted(self.connections, key=lambda c: (not c.silent, c.used))
+        spare = (connection for connection in by_use if connection.spare(now))
+        return list(itertools.islice(spare, ROOM_AT_ONCE))
 
     def _watch(self) -> None:
         """End connections that keep one waiting for a message; what lies in the sockets is read first."""
         now = time.monotonic()
         for connection in list(self.connections):
             if connection.stalls(now):
-                connection.end_broken(Unreadable("no whole message in time", TIMED_OUT))
+                connection.end_unreadable(Unreadable("no whole message in time", TIMED_OUT))
             elif connection.stuck(now):
                 self.log.event("answer_not_taken", listener=str(self.address))
-                connection.stream.close()
+                connection.drop()
         self.watch = asyncio.get_running_loop().call_later(WATCH, after_reading, self._watch)
 
     def _adopt(self, accepted: socket.socket, peer: str) -> None:
         accepted.setblocking(False)
-        stream = IOStream(accepted)
+        stream = DetachableStream(accepted)
         stream.set_nodelay(accepted.family != socket.AF_UNIX)
         connection = self.make(stream, peer)
         task = asyncio.get_running_loop().create_task(connection.run())
@@ -177,11 +192,11 @@
         task.add_done_callback(lambda _: self._gone(connection))
         connection.leaving = self.leaving
 
-    def put(self, message: m.KeepIdle) -> None:
+    def put(self, message: messages.KeepIdle) -> None:
         """Take how long connections without a request stay."""
         self.mailbox.put(message)
 
-    def _take(self, keep: m.KeepIdle) -> None:
+    def _take(self, keep: messages.KeepIdle) -> None:
         self.kept_idle = keep.seconds
         if self.sweep:
             self.sweep.cancel()
@@ -224,11 +239,27 @@
         """Requests on all connections whose answer is not sent yet."""
         return sum(len(c.open) + bool(c.stream.writing() and not c.stream.closed()) for c in self.connections)
 
-    def end(self) -> None:
-        """Close the connections on which nothing is open."""
+    async def end(self, left: float) -> None:
+        """Close the connections in order, each once nothing is open on it; after `left` seconds at once."""
+        until = time.monotonic() + left
+        while self._part_idle() and time.monotonic() < until:
+            await asyncio.sleep(END_LOOK)
+        parting = [task for connection, task in self.connections.items() if connection.stream.closed()]
+        if parting:
+            await asyncio.wait(parting, timeout=max(0.0, until - time.monotonic()))
         for timer in (self.sweep, self.watch):
             if timer:
                 timer.cancel()
         for connection in list(self.connections):
             if not connection.open and not connection.stream.writing():
-                connection.stream.close()
+                connection.drop()
+
+    def _part_idle(self) -> bool:
+        """Part with the connections on which nothing is open or lies unread; whether others are left."""
+        for connection in list(self.connections):
+            if connection.idle():
+                connection.part()
+        return any(
+            connection.state is ConnectionState.OPEN and not connection.stream.closed()
+            for connection in self.connections
+        )
--- a/shelfhaven/fronts/uwsgi.py
+++ b/shelfhaven/fronts/uwsgi.py
@@ -20,9 +20,9 @@
 import time
 
 import orjson
-from tornado.iostream import IOStream
 
-from shelfhaven.fronts.connection import READ, Connection, ToCore, Unreadable
+from shelfhaven.fronts.connection import READ, Connection, ConnectionState, ToCore, Unreadable
+from shelfhaven.fronts.stream import DetachableStream
 from shelfhaven.operatorfile import Listen
 from shelfhaven.protocol import http
 from shelfhaven.protocol import uwsgi as wire
@@ -41,7 +41,7 @@
     """Actor of one gateway's connection; it carries one request at a time."""
 
     def __init__(
-        self, stream: IOStream, peer: str, listen: Listen, mapping: Mapping, tell: ToCore, log: Log
+        self, stream: DetachableStream, peer: str, listen: Listen, mapping: Mapping, tell: ToCore, log: Log
     ) -> None:
         super().__init__(stream, tell, log)
         self.peer, self.listen, self.mapping = peer, listen, mapping
@@ -118,7 +118,7 @@
     def _encode(self, answer: m.Answer) -> bytes:
         close = not self.keep or self.leaving
         if close:
-            self.broken = True  # nothing more is read; it is closed once this is out
+            self.state = ConnectionState.UNREADABLE  # it is closed once this is out
         fields = [] if answer.load is None else [("X-Load", f"{answer.load:g}")]
         match answer:
             case m.Served():
--- a/shelfhaven/program/app.py
+++ b/shelfhaven/program/app.py
@@ -268,7 +268,7 @@
                 break
             await asyncio.sleep(WATCH)
         for part in self.parts:
-            await part.disconnect()
+            await part.disconnect(max(0.0, self.stop_at - WATCH - time.monotonic()))
 
     def _connected(self) -> bool:
         return any(part.connected() for part in self.parts)
--- a/shelfhaven/program/fronts.py
+++ b/shelfhaven/program/fronts.py
@@ -23,7 +23,7 @@
     from shelfhaven.operatorfile import Listen, Operator
     from shelfhaven.routing.mapping import Mapping
 
-LISTEN_TRIES, LISTEN_PAUSE = 30, 0.1  # seconds between tries
+LISTEN_TRIES, LISTEN_PAUSE = 200, 0.1  # seconds between tries; a process that leaves the address may take 20
 
 
 class Listeners(Part):
@@ -77,9 +77,8 @@
     def connected(self) -> bool:
         return any(listener.connections for listener in self.listeners)
 
-    async def disconnect(self) -> None:
-        for listener in self.listeners:
-            listener.end()
+    async def disconnect(self, left: float) -> None:
+        await asyncio.gather(*(listener.end(left) for listener in self.listeners))
 
     def load_now(self) -> dict[str, Any]:
         return {"connections": sum(len(listener.connections) for listener in self.listeners)}
@@ -146,7 +145,7 @@
     def connected(self) -> bool:
         return bool(self.open_requests())
 
-    async def disconnect(self) -> None:
+    async def disconnect(self, left: float) -> None:
         for processor in self.processors:
             await processor.end()
 
--- a/shelfhaven/program/part.py
+++ b/shelfhaven/program/part.py
@@ -61,8 +61,8 @@
         """Whether anybody is still there to whom an answer could be owed."""
         return False
 
-    async def disconnect(self) -> None:
-        """Let those go that are still there."""
+    async def disconnect(self, left: float) -> None:
+        """Let those go that are still there, within `left` seconds."""
 
     async def end(self) -> None:
         """Stop for good."""
--- a/shelfhaven/program/zones.py
+++ b/shelfhaven/program/zones.py
@@ -155,7 +155,7 @@
         if self.guard:
             self.guard.close(left)
 
-    async def disconnect(self) -> None:
+    async def disconnect(self, left: float) -> None:
         if self.guard:
             await self.guard.closed()
 
--- a/shelfhaven/protocol/jsonrpc.py
+++ b/shelfhaven/protocol/jsonrpc.py
@@ -9,6 +9,7 @@
 import base64
 import binascii
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any, TypeAlias, TypeGuard
 
@@ -84,13 +85,14 @@
         self.unread = bytearray()
         self.expected = -1  # length of the body whose head was read
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """The bodies that are complete with this data, in order."""
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The bodies that are complete with this data, in order.
+
+        Raises StreamError after the last of them where the stream cannot be cut any further.
+        """
         self.unread += data
-        bodies = []
         while (body := self._next()) is not None:
-            bodies.append(body)
-        return bodies
+            yield body
 
     def _next(self) -> bytes | None:
         if self.expected < 0:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -52,7 +52,7 @@
 
 def test_messages_split_at_every_byte_are_cut_the_same() -> None:
     stream = frame(call()) + frame({"jsonrpc": "2.0", "id": 8, "method": "alive"}) + frame(b"{}")
-    whole = jsonrpc.Cutter().feed(stream)
+    whole = list(jsonrpc.Cutter().feed(stream))
     assert len(whole) == 3
     for cut in range(len(stream) + 1):
         cutter = jsonrpc.Cutter()
@@ -168,7 +168,7 @@
 )
 def test_a_head_without_a_usable_length_breaks_the_stream(head: bytes) -> None:
     with pytest.raises(jsonrpc.StreamError):
-        jsonrpc.Cutter().feed(head)
+        list(jsonrpc.Cutter().feed(head))
 
 
 def _answer(data: bytes) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_races.py
@@ -0,0 +1,283 @@
+"""Ends of connections and of the process that cross what is still under way, on real sockets.
+
+Each crossing is forced: a stand-in or the test holds back the other side until the state in question is
+reached. docs/shutdown-and-races.md names the test of each crossing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import struct
+from typing import Any
+
+import orjson
+import pytest
+
+from shelfhaven.fronts import connection as connections
+from shelfhaven.fronts.connection import Connection, ConnectionState
+from shelfhaven.fronts.listener import Listener
+from shelfhaven.lab.callers import until
+from shelfhaven.program.app import Phase
+from tests.peers import Site, play, site
+
+NONSENSE = b"nonsense\r\n\r\n"  # a head without a length
+
+
+def framed(message: dict[str, Any] | bytes) -> bytes:
+    """A message behind its head."""
+    body = message if isinstance(message, bytes) else orjson.dumps(message)
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def health_check(ref: int) -> bytes:
+    """A whole health check."""
+    return framed({"jsonrpc": "2.0", "id": ref, "method": "alive"})
+
+
+async def the_connection(running: Site) -> Connection:
+    """The one connection that the server holds."""
+    await until(lambda: len(running.app.listener.connections) == 1)
+    return next(iter(running.app.listener.connections))
+
+
+# The peer ends its stream
+
+
+def test_a_router_that_has_ended_its_stream_still_gets_its_answers() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            router.request(2)
+            await until(lambda: len(s.agent.launched) == 2)
+            connection = await the_connection(s)
+            router.writer.write_eof()
+            await until(lambda: connection.state is ConnectionState.PEER_ENDED)
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
+            s.agent.passed(f"{2:016x}")
+            assert "result" in await router.answer(2)
+            await until(lambda: router.ended)
+            assert [len(router.of(ref)) for ref in (1, 2)] == [1, 1]
+            assert not s.app.listener.connections
+
+    play(check)
+
+
+def test_a_request_that_comes_with_the_end_of_its_stream_is_answered() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router = await s.router()
+            router.request(1)
+            router.writer.write_eof()
+            assert "result" in await router.answer(1)
+
+    play(check)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_router_that_is_gone_altogether_is_found_out_before_its_run_ends(reset: bool) -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                raw = router.writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            await router.close()
+            await until(lambda: not s.app.core.by_ref)
+            assert not s.app.listener.connections
+            s.agent.passed(call)
+            await until(lambda: not s.app.core.requests)
+
+    play(check)
+
+
+# Requests read together with what cannot be read
+
+
+def test_a_request_before_bytes_that_cannot_be_cut_is_answered() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router = await s.router()
+            router.writer.write(health_check(1) + NONSENSE)
+            await until(lambda: router.ended)
+            assert sorted(m["id"] or 0 for m in router.got) == [0, 1]
+            assert "result" in router.of(1)[0]
+
+    play(check)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [b"{", b'{"jsonrpc":"2.0","method":"look"}', b'{"jsonrpc":"2.0","id":1,"method":"alive"}'],
+    ids=["no JSON", "no id", "an open id"],
+)
+def test_requests_around_a_message_that_cannot_be_read_are_answered(bad: bytes) -> None:
+    async def check() -> None:
+        async with site() as s:
+            router = await s.router()
+            router.writer.write(health_check(1) + framed(bad) + health_check(2))
+            await until(lambda: router.ended)
+            assert sorted(m["id"] or 0 for m in router.got) == [0, 1, 2]
+            assert all("result" in router.of(ref)[0] for ref in (1, 2))
+
+    play(check)
+
+
+# Closes in order
+
+
+def test_a_close_over_unread_bytes_does_not_reset_what_was_answered() -> None:
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            router.writer.write(NONSENSE)
+            await until(lambda: router.got)  # it is told so, and nothing more is read from it
+            router.writer.write(b"x" * 100_000)
+            await router.writer.drain()
+            s.agent.passed(call)
+            await asyncio.wait_for(router.task, 5)
+            assert router.ended
+            assert router.reader.exception() is None  # an end of stream, no reset
+            assert "result" in router.of(1)[0]
+
+    play(check)
+
+
+def test_a_close_waits_a_bounded_time_for_a_peer_that_does_not_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connections, "LINGER", 0.1)
+
+    async def check() -> None:
+        async with site() as s:
+            listen = s.app.config.listen
+            assert listen
+            with socket.create_connection((listen.host, listen.port)) as stubborn:
+                stubborn.sendall(NONSENSE)  # and it never closes
+                connection = await the_connection(s)
+                await until(lambda: connection.state is ConnectionState.CLOSING)
+                await until(lambda: not s.app.listener.connections)
+                assert connection.state is ConnectionState.CLOSED
+            assert s.app.descriptors.routers == 0
+
+    play(check)
+
+
+def test_a_connection_that_waits_for_its_peers_end_makes_room_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connections, "LINGER", 60.0)
+
+    async def check() -> None:
+        async with site(limits={"sockets": 16}) as s:
+            listen = s.app.config.listen
+            assert listen
+            most = s.app.descriptors.routers_most
+            others = [await s.router() for _ in range(most - 1)]
+            for number, other in enumerate(others):
+                other.writer.write(health_check(number + 1))
+                await other.answer(number + 1)
+            with socket.create_connection((listen.host, listen.port)) as stubborn:
+                stubborn.sendall(NONSENSE)
+                await until(
+                    lambda: any(c.state is ConnectionState.CLOSING for c in s.app.listener.connections)
+                )
+                late = await s.router()
+                late.writer.write(health_check(9))
+                assert "result" in await late.answer(9)
+            assert not any(other.ended for other in others)
+
+    play(check)
+
+
+def test_a_request_whose_last_byte_comes_at_the_very_end_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    ending = asyncio.Event()
+    end = Listener.end
+
+    async def ends(listener: Listener, left: float) -> None:
+        ending.set()
+        await end(listener, left)
+
+    monkeypatch.setattr(Listener, "end", ends)
+
+    async def check() -> None:
+        async with site(stop_ms=1000) as s:
+            router = await s.router()
+            message = health_check(1)
+            router.writer.write(message[:-5])
+            connection = await the_connection(s)
+            await until(lambda: connection.unread)
+            s.app.notice()
+            await ending.wait()
+            router.writer.write(message[-5:])
+            assert "result" in await router.answer(1)
+            await until(s.running.done)
+            assert s.running.exception() is None
+
+    play(check)
+
+
+def test_what_comes_after_this_sides_end_is_never_run_and_the_process_ends() -> None:
+    async def check() -> None:
+        async with site(stop_ms=2000) as s:
+            router = await s.router()
+            router.writer.write(health_check(1))
+            await router.answer(1)
+            connection = await the_connection(s)
+            s.app.notice()
+            await until(lambda: connection.state is ConnectionState.CLOSING)
+            router.request(2)
+            await until(s.running.done)
+            assert s.app.phase is Phase.ENDED
+            assert not s.agent.launched
+            assert not router.of(2)
+
+    play(check)
+
+
+def test_the_backlog_is_taken_at_the_end_even_with_all_descriptors_in_use() -> None:
+    async def check() -> None:
+        async with site() as s:
+            idle = await s.router()
+            idle.writer.write(health_check(1))
+            await idle.answer(1)
+            (await the_connection(s)).used -= 60
+            listener = s.app.listener
+            listener._pause()
+            waiting = await s.router()
+            listening = listener.socket
+            assert listening
+            listener.socket = FullOnce(listening)  # type: ignore[assignment]
+            listener.close()
+            waiting.writer.write(health_check(2))
+            assert "result" in await waiting.answer(2)
+            await until(lambda: idle.ended)
+
+    play(check)
+
+
+class FullOnce:
+    """A listening socket whose first accept finds no descriptor."""
+
+    def __init__(self, listening: socket.socket) -> None:
+        self.listening, self.failed = listening, False
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Fail once, then accept."""
+        if not self.failed:
+            self.failed = True
+            raise OSError(errno.EMFILE, "too many open files")
+        return self.listening.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.listening, name)
+
+
+def test_an_answer_that_nobody_takes_is_held_no_longer_than_anybody_waits() -> None:
+    async def check() -> None:
+        async with site() as s:
+            await s.router()
+            connection = await the_connection(s)
+            longest = max(c.deadline for c in s.app.config.settings.classes)
+            assert connection.unread_most == longest > 0
+
+    play(check)
