A notice to leave is heard though blocked by the parent, and kills nobody after the end

Seen: a process started by one that blocks SIGTERM inherits the mask and never drains (SigBlk 0x4002, ShdPnd 0x4000 in its status while it served on). And the end of the loop gives SIGTERM its default handler back, so a second notice in the last moments kills a process that has left in order (asyncio removes its handlers in close). App.run unblocks the notices beside SIGHUP; the command line blocks them after the app's end. Tests: both fail on the code before.

--- a/shelfhaven/__main__.py
+++ b/shelfhaven/__main__.py
@@ -57,6 +57,16 @@
     """Overload control inside each server of a fleet."""
 
 
+async def _run(application: app.App) -> None:
+    """Run an app server to its end.
+
+    The end of the loop gives signals their default handlers back: a second notice to leave that came then
+    would kill a process that has left in order.
+    """
+    await application.run()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
+
+
 @main.command()
 @config_option
 @operator_option
@@ -68,7 +78,7 @@
     log = Log(files.config.name)
     logging.getLogger().handlers = [FromLibraries(log)]
     try:
-        asyncio.run(app.App(files, log, path, operator_path).run())
+        asyncio.run(_run(app.App(files, log, path, operator_path)))
     except OSError as error:
         log.event("cannot_start", error=str(error))
         sys.exit(1)
--- a/shelfhaven/program/app.py
+++ b/shelfhaven/program/app.py
@@ -173,7 +173,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.notice)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        # whoever started this process may have left them blocked: a drain would never begin
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
         for key in self.config.unsupported:
             self.log.event("unsupported", key=f"settings.{key}")
         loop.set_exception_handler(self._unhandled)
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,86 @@
+"""Signals that cross the start, the end or each other."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+
+from shelfhaven import __main__ as command_line
+from shelfhaven.lab import platform
+from shelfhaven.lab.callers import until
+from shelfhaven.lab.node import free_port
+from shelfhaven.protocol import jsonrpc
+from tests.peers import play, site
+from tests.test_config import CONFIG
+
+
+def test_a_notice_to_leave_after_the_end_kills_nobody() -> None:
+    class Ended:
+        async def run(self) -> None:
+            """Nothing is left to do."""
+
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, [])
+    try:
+        asyncio.run(command_line._run(Ended()))  # type: ignore[arg-type]
+        blocked = signal.pthread_sigmask(signal.SIG_BLOCK, [])
+        assert {signal.SIGTERM, signal.SIGINT} <= blocked
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
+def test_a_notice_to_leave_is_heard_though_the_parent_process_blocks_it(tmp_path: Path) -> None:
+    async def check() -> None:
+        members = platform.Members()
+        agent = platform.Agent()
+        await agent.start()
+        data = CONFIG | {
+            "listen": f"127.0.0.1:{free_port()}",
+            "agent": f"127.0.0.1:{agent.port}",
+            "members": f"127.0.0.1:{members.port}",
+            "stop_ms": 300,
+        }
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps(data))
+        before = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+        try:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "shelfhaven", "serve",
+                env=os.environ | {"GW_CONFIG": str(path)}, stderr=subprocess.DEVNULL,
+            )  # fmt: skip
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, before)
+        try:
+            await until(lambda: b"HB n3 UP" in members.reports())
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 10) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            agent.stop()
+
+    play(check)
+
+
+def test_a_reload_and_a_notice_to_leave_at_once_answer_all() -> None:
+    async def check() -> None:
+        async with site(stop_ms=1500) as s:
+            router, call = await s.running_request()
+            moved = platform.Members()
+            s.rewrite(members=f"127.0.0.1:{moved.port}")
+            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await until(lambda: b"HB n3 OUT" in moved.reports())
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
+            await until(s.running.done)
+            assert s.running.exception() is None
+            assert jsonrpc.FAILED not in [m.get("error", {}).get("code") for m in router.got]
+
+    play(check)
