A link to the agent that is silent or hangs in its dial is given up and opened again

A link that is open on this side only brings no end of stream: samples stayed unanswered, launches went nowhere, and every request failed until TCP gave up (agent.py: read_bytes and connect without a bound). A sample unanswered for 3 s, the closing sample of a replay included, ends the link; a dial has 2 s. Runs go on meanwhile, and commands without a fate go out again on the next link.

--- a/shelfhaven/backends/agent.py
+++ b/shelfhaven/backends/agent.py
@@ -27,6 +27,8 @@
 
 READ = 64 * 1024  # bytes at a time
 RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries to connect
+DIAL_MOST = 2.0  # seconds for a connection to be made; a dial that hangs is given up and tried again
+SILENCE_MOST = 3.0  # seconds for the answer to a sample, ten times the longest pause that machines have
 RESTART_MARGIN = 1.0  # seconds, for clocks and delays, in telling an agent from the one before
 
 Teller: TypeAlias = Callable[[m.Told], None]
@@ -72,6 +74,7 @@
         self.links = self.ups = 0  # connected, and carried commands
         self.barrier = ""  # tag of the sample that closes what a new link replays
         self.up = False
+        self.unanswered_since = 0.0  # when the oldest sample that nothing came after was asked for; 0: none
         self.asked = 0.0  # when this link was opened
         self.met = math.inf  # when the agent that is known here first greeted
         self.ended = False
@@ -87,6 +90,21 @@
             self.fate[command.id] = Pending(command, int(self.up))
         if self.up:
             self.outgoing.append(wire.encode(command))
+            if isinstance(command, wire.Sample):
+                self._look_for_silence()
+
+    def _look_for_silence(self) -> None:
+        """Give up a link on which samples stay unanswered: a peer that is cut off sends no end of stream.
+
+        Guards against a link that is open on this side only. It costs a link where the agent stands still for
+        long: runs go on without one, and notices are read on the next.
+        """
+        now = time.monotonic()
+        if not self.unanswered_since:
+            self.unanswered_since = now
+        elif now - self.unanswered_since > SILENCE_MOST and self.stream:
+            self.log.event("agent_silent", seconds=round(now - self.unanswered_since, 1))
+            self.stream.close()
 
     def _flush(self) -> None:
         if self.outgoing and self.stream and not self.stream.closed():
@@ -137,6 +155,7 @@
             self.stream.close()
             self.stream = None
         self.outgoing.clear()
+        self.barrier, self.unanswered_since = "", 0.0
         if self.up:
             self.up = False
             if not self.ended:
@@ -147,14 +166,18 @@
         assert self.address
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.stream = stream
-        await stream.connect((self.address.host, self.address.port))
+        await asyncio.wait_for(stream.connect((self.address.host, self.address.port)), DIAL_MOST)
         stream.set_nodelay(True)
         self.links += 1
         self.asked = time.monotonic()
         await stream.write(wire.subscribe(self.last))
         cutter = wire.Cutter()
         while True:
-            for notice in cutter.feed(await stream.read_bytes(READ, partial=True)):
+            # it may come up long after this program, so its greeting is waited for however long it takes
+            patience = SILENCE_MOST if self.barrier else None
+            data = await asyncio.wait_for(stream.read_bytes(READ, partial=True), patience)
+            self.unanswered_since = 0.0
+            for notice in cutter.feed(data):
                 self._notice(notice)
 
     def _notice(self, notice: wire.Notice) -> None:
--- a/shelfhaven/lab/platform.py
+++ b/shelfhaven/lab/platform.py
@@ -29,6 +29,7 @@
         self.state = "LOADED"
         self.born = time.monotonic()
         self.gauges = "0.5 1 0.1 3"
+        self.mute = False  # reads commands and sends nothing, as one that is cut off
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -62,7 +63,7 @@
                 self.send(f"sampled {tag} {self.gauges}\r\n".encode())
 
     def send(self, data: bytes) -> None:
-        if self.writer and not self.writer.is_closing():
+        if self.writer and not self.writer.is_closing() and not self.mute:
             self.writer.write(data)
 
     def notice(self, text: str, body: bytes | None = None) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,6 +14,7 @@
 import orjson
 import pytest
 
+from shelfhaven.backends import agent as agent_actor
 from shelfhaven.backends import ledger
 from shelfhaven.backends.agent import RESTART_MARGIN, RETRY_MOST
 from shelfhaven.config import Address
@@ -701,3 +702,30 @@
         assert first[30] - first[9] >= 0.25 * members.EVERY, "not in one moment"
 
     play(check)
+
+
+@pytest.mark.parametrize("when", ["once it is up", "behind its greeting"])
+def test_a_link_on_which_nothing_comes_is_given_up_and_no_run_is_lost(
+    when: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(agent_actor, "SILENCE_MOST", 0.1)
+
+    async def check() -> None:
+        async with site() as s:
+            router, call = await s.running_request()
+            s.agent.mute = when == "once it is up"
+            if when == "behind its greeting":
+                monkeypatch.setattr(s.agent, "gauges", "")  # the sample that closes a replay stays unanswered
+                command = s.agent._command
+                monkeypatch.setattr(s.agent, "_command", lambda w, b: w[0] == "sample" or command(w, b))
+                s.agent.cut()
+                await until(lambda: len(s.agent.subscribed) >= 3)
+            await until(lambda: len(s.agent.subscribed) >= 2)
+            monkeypatch.undo()
+            s.agent.mute = False
+            s.agent.cut()  # a greeting that was swallowed is no silence: it may be waited for long
+            s.agent.passed(call)
+            assert "result" in await router.answer(1)
+            assert [id_ for id_, *_ in s.agent.launched].count(call) <= len(s.agent.subscribed)
+
+    play(check)
