A repeat of a keyed run that outlasts its window waits for it instead of running beside it

Settings of another customer may have key windows shorter than runs (brisk-counter: 0.4 s). A repeat that came after the window while the first try still ran was launched beside it, and the first one's result was dropped (core.py: _same_as looked at the window alone, _purge forgot the entry of a run in hand).

--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -325,7 +325,14 @@
         entry = self.table.get(request.key)
         if entry is None and self.keeping:
             entry = self._earlier(request, self.keeping)
-        return entry.id if entry and reached < entry.until else 0
+        if entry is None:
+            return 0
+        return entry.id if reached < entry.until or self._in_hand(entry.id) else 0
+
+    def _in_hand(self, id_: int) -> bool:
+        """Whether the work of a try has begun or is still to come."""
+        request = self.requests.get(id_)
+        return request is not None and request.stage is not Stage.OVER
 
     def _earlier(self, request: Request, keeping: Keeping) -> Entry | None:
         """The entry of a key that an earlier life of this node has run, or may have: under a number that the
@@ -665,7 +672,12 @@
         while self.table_ends and self.table_ends[0][0] <= self.now:
             end, key = heapq.heappop(self.table_ends)
             entry = self.table.get(key)
-            if entry and entry.forgotten <= end:
+            if entry is None or entry.forgotten > end:
+                continue
+            if self._in_hand(entry.id):  # a run that outlasts its window still has its repeats linked to it
+                entry.forgotten = self.now + self.config.settings.classes[key[0]].deadline
+                heapq.heappush(self.table_ends, (entry.forgotten, key))
+            else:
                 self._drop_entry(key)
 
     def _reuse(self, request: Request) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -245,6 +245,35 @@
     bench(check)
 
 
+@pytest.mark.parametrize("after", [3.5, 10.0], ids=["its window", "its entry would be forgotten"])
+def test_a_repeat_of_a_run_that_outlasts_its_window_waits_for_it(after: float) -> None:
+    def check(b: Bench) -> None:
+        first = b.submit(1, PAY, "k")
+        b.later(after)
+        b.submit(2, PAY, "k")
+        assert b.launched() == [first]
+        b.end(first)
+        assert [type(a) for a in b.answers(2)] == [m.Served]
+        again = b.submit(3, PAY, "k")
+        assert b.launched() == [first, again], "its window is over, and so is the run"
+
+    bench(check)
+
+
+def test_a_repeat_that_crosses_the_end_of_its_run_is_served_in_either_order() -> None:
+    def check(b: Bench) -> None:
+        first = b.submit(1, PAY, "k")
+        b.end(first)
+        b.submit(2, PAY, "k")
+        other = b.submit(3, PAY, "l")
+        b.submit(4, PAY, "l")
+        b.end(other)
+        assert [type(a) for ref in (1, 2, 3, 4) for a in b.answers(ref)] == [m.Served] * 4
+        assert b.launched() == [first, other]
+
+    bench(check)
+
+
 def test_keyed_runs_that_may_have_had_their_effect_and_no_others_are_told_as_unclear() -> None:
     def check(b: Bench) -> None:
         told: list[str] = []
