Formatter clean: layout only

ruff format over the tree; the syntax trees of all files are the same before and after (compared with ast.dump, but for three comments that moved with their lines).

--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -112,9 +112,7 @@
             if engine != "none":
                 await w.held(within=30.0)
             await asyncio.sleep(1.0)
-            sizes = [
-                psutil.Process(node.process.pid).memory_info().rss for node in w.nodes if node.process
-            ]
+            sizes = [psutil.Process(node.process.pid).memory_info().rss for node in w.nodes if node.process]
             found[engine] = round(statistics.median(sizes) / 1e6, 1)
     return found
 
--- a/benchmarks/extproc.py
+++ b/benchmarks/extproc.py
@@ -188,7 +188,11 @@
         command = [sys.executable, "-m", "benchmarks.extproc", "--worker"]
         processes = [
             await asyncio.create_subprocess_exec(
-                *command, str(proxies.port), str(part * full / workers), str(seconds), str(seed),
+                *command,
+                str(proxies.port),
+                str(part * full / workers),
+                str(seconds),
+                str(seed),
                 stdout=asyncio.subprocess.PIPE,
             )  # fmt: skip
             for seed in range(workers)
--- a/shelfhaven/__main__.py
+++ b/shelfhaven/__main__.py
@@ -123,7 +123,10 @@
 
 @main.command()
 @click.option(
-    "--operator", "operator_path", type=click.Path(path_type=Path), required=True,
+    "--operator",
+    "operator_path",
+    type=click.Path(path_type=Path),
+    required=True,
     help="The operator's file of a node: its secret, and where it is asked.",
 )
 @click.option("--at", default="", help="Another node's address for peers, in place of the file's.")
@@ -153,9 +156,7 @@
     return option(command)
 
 
-def _ask_duties(
-    operator_path: Path, name: str, what: str, node: str = "", yes: bool = False
-) -> None:
+def _ask_duties(operator_path: Path, name: str, what: str, node: str = "", yes: bool = False) -> None:
     from shelfhaven.program.duties import asked
 
     told = _load(None, operator_path)
--- a/shelfhaven/lab/dutycrowd.py
+++ b/shelfhaven/lab/dutycrowd.py
@@ -168,9 +168,7 @@
         late = self.random.random() < self.troubles.slow
         return self.random.uniform(*DELAY) + (self.random.random() * self.troubles.late if late else 0.0)
 
-    def _ask(
-        self, node: Node, kind: str, do: Callable[[], k.Event | None], failed: k.Event | None
-    ) -> None:
+    def _ask(self, node: Node, kind: str, do: Callable[[], k.Event | None], failed: k.Event | None) -> None:
         """A question to the store: its answer, or that there was none, comes back once."""
         answered = [False]
 
--- a/shelfhaven/lab/dutyfaults.py
+++ b/shelfhaven/lab/dutyfaults.py
@@ -60,8 +60,11 @@
         count = random.choice((1, 1, 2, max(1, nodes // 3)))
         faults.append(
             Fault(
-                at, random.choice(kinds), tuple(random.sample(range(nodes), count)),
-                random.uniform(0.5, 12.0), random.random(),
+                at,
+                random.choice(kinds),
+                tuple(random.sample(range(nodes), count)),
+                random.uniform(0.5, 12.0),
+                random.random(),
             )  # fmt: skip
         )
         at += random.uniform(1.0, 6.0)
--- a/shelfhaven/lab/dutyfleet.py
+++ b/shelfhaven/lab/dutyfleet.py
@@ -148,7 +148,11 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    engine: str, count: int = 5, stated: float = 0.0, faultless: bool = True, checks: bool = True,
+    engine: str,
+    count: int = 5,
+    stated: float = 0.0,
+    faultless: bool = True,
+    checks: bool = True,
     **changes: Any,
 ) -> AsyncIterator[World]:
     """A world whose history is checked at its end; `stated`: seconds for which two may believe."""
--- a/shelfhaven/lab/node.py
+++ b/shelfhaven/lab/node.py
@@ -90,9 +90,7 @@
 
 
 @contextlib.asynccontextmanager
-async def served(
-    text: str, listens: Address, command: Sequence[str] = ()
-) -> AsyncIterator[Node]:
+async def served(text: str, listens: Address, command: Sequence[str] = ()) -> AsyncIterator[Node]:
     """A node with this operator's file, once it listens there; killed if it outlives the context."""
     command = command or [sys.executable, "-m", "shelfhaven", "serve", "--operator"]
     with tempfile.TemporaryDirectory() as folder:
--- a/shelfhaven/lab/zonecrowd.py
+++ b/shelfhaven/lab/zonecrowd.py
@@ -356,9 +356,14 @@
     def _decide(self) -> None:
         holder = self.holder
         seen = holder.gossip.survey(self.now) if holder else None
-        if holder is None or not holder.up or self.nodes.get(holder.name) is not holder or (
-            not self._reaches_store(holder)
-            or (self.decider is not None and self.decider.is_apart(self.now, holder.zone, seen))
+        if (
+            holder is None
+            or not holder.up
+            or self.nodes.get(holder.name) is not holder
+            or (
+                not self._reaches_store(holder)
+                or (self.decider is not None and self.decider.is_apart(self.now, holder.zone, seen))
+            )
         ):
             if self.holder_lost is None:
                 self.holder_lost = self.now
@@ -372,9 +377,7 @@
             seen = holder.gossip.survey(self.now)
         assert holder
         assert self.decider
-        new, base = self.decider.turn(
-            self.now, self.document, holder.follower.document, seen, self.fence
-        )
+        new, base = self.decider.turn(self.now, self.document, holder.follower.document, seen, self.fence)
         if new is None:
             return
         if new.epoch != base.epoch:
--- a/shelfhaven/lab/zonefleet.py
+++ b/shelfhaven/lab/zonefleet.py
@@ -195,8 +195,13 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    per_zone: int = 2, judged: bool = True, duties: str = "", most: float = MOST, keys: bool = False,
-    regions: dict[str, str] = ONE_REGION, keeping: tuple[str, ...] = ("z0", "z1", "z2"),
+    per_zone: int = 2,
+    judged: bool = True,
+    duties: str = "",
+    most: float = MOST,
+    keys: bool = False,
+    regions: dict[str, str] = ONE_REGION,
+    keeping: tuple[str, ...] = ("z0", "z1", "z2"),
     **changes: Any,
 ) -> AsyncIterator[World]:
     """Zones, each with nodes and a server below, whose history is checked at the end."""
--- a/shelfhaven/membership/duties/work.py
+++ b/shelfhaven/membership/duties/work.py
@@ -253,4 +253,3 @@
                     return
         finally:
             self.peers.keep_list(False)
-
--- a/shelfhaven/membership/member.py
+++ b/shelfhaven/membership/member.py
@@ -603,4 +603,3 @@
             self.knowing = Knowing.FOLLOWING
         else:
             self.knowing = Knowing.SEEKING
-
--- a/shelfhaven/membership/zones/decider.py
+++ b/shelfhaven/membership/zones/decider.py
@@ -326,9 +326,7 @@
         )
         return max(s.step, 2 * order.away) if order.to and bear else s.step
 
-    def _aimed_anew(
-        self, now: float, document: Document, seen: Mapping[str, ZoneSeen]
-    ) -> Document | None:
+    def _aimed_anew(self, now: float, document: Document, seen: Mapping[str, ZoneSeen]) -> Document | None:
         """Where traffic goes to that is away, once a zone that it goes to is moved or ill itself."""
         for zone, order in document.zones.items():
             if order.away <= 0 or zone not in seen:
@@ -407,9 +405,7 @@
                 found[other] = max(0.0, free + taken)
         return found
 
-    def _to(
-        self, zone: str, room: Mapping[str, float], seen: Mapping[str, ZoneSeen]
-    ) -> dict[str, float]:
+    def _to(self, zone: str, room: Mapping[str, float], seen: Mapping[str, ZoneSeen]) -> dict[str, float]:
         """Where it goes: by room, in the zone's own region first where that has any."""
         near = {other: part for other, part in room.items() if self._region(other) == self._region(zone)}
         for among in (near, dict(room)):
@@ -419,9 +415,7 @@
         well = [other for other in room if seen[other].known]
         return {other: 1 / len(well) for other in well}
 
-    def _allowed(
-        self, zone: str, load: float, document: Document, seen: Mapping[str, ZoneSeen]
-    ) -> float:
+    def _allowed(self, zone: str, load: float, document: Document, seen: Mapping[str, ZoneSeen]) -> float:
         """The part that may be away: no more of all load than is stated, and one zone stays."""
         loads = {other: self._load(other, document.order(other), seen) for other in seen}
         loads[zone] = load
--- a/shelfhaven/operatorfile/node.py
+++ b/shelfhaven/operatorfile/node.py
@@ -36,7 +36,7 @@
     repeat = part.take("repeat", word(REPEATS), Repeat.UNSAFE)
     window = part.take("window", time, 0.0)
     if (repeat is Repeat.KEYED) != (window > 0):
-        raise part.fault("window", "a class with repeat \"keyed\" needs one, no other has one")
+        raise part.fault("window", 'a class with repeat "keyed" needs one, no other has one')
     return name, ClassSettings(
         aim=aim,
         deadline=deadline,
--- a/shelfhaven/state/actor.py
+++ b/shelfhaven/state/actor.py
@@ -403,4 +403,3 @@
 def _trouble(error: Exception) -> Trouble:
     full = isinstance(error, apsw.FullError) or (isinstance(error, OSError) and error.errno == 28)
     return Trouble.FULL if full else Trouble.FAILING
-
--- a/tests/test_consult.py
+++ b/tests/test_consult.py
@@ -137,9 +137,7 @@
 
 OPS = st.lists(
     st.tuples(
-        st.sampled_from(
-            "body launched refused served failed headers result trailers closed lease".split()
-        ),
+        st.sampled_from("body launched refused served failed headers result trailers closed lease".split()),
         st.sampled_from([0.0, 0.05, 0.3, 1.5]),
         st.booleans(),
         st.sampled_from([200, 404, 500, 503]),
--- a/tests/test_core_keeping.py
+++ b/tests/test_core_keeping.py
@@ -191,7 +191,8 @@
 @given(st.lists(st.tuples(moves, st.integers(0, 5)), max_size=40))
 @benched
 def test_whatever_meets_in_whatever_order_each_is_answered_once_and_no_run_is_unwritten(
-    b: Bench, script: list[tuple[str, int]],
+    b: Bench,
+    script: list[tuple[str, int]],
 ) -> None:
     disk, refs, said = kept(b), 0, set[int]()
     for move, n in script:
--- a/tests/test_extproc_troubles.py
+++ b/tests/test_extproc_troubles.py
@@ -198,7 +198,7 @@
                 await stack.enter_async_context(served(FILE.format(proxies=a, cold=""), a)) for a in addresses
             ]
             tasks = []
-            cold = "cold true\n cold-from 0.3\n warm-up \"2s\""
+            cold = 'cold true\n cold-from 0.3\n warm-up "2s"'
 
             async def replace(which: int) -> None:
                 assert await nodes[which].ended() == 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -303,8 +303,6 @@
     play(check)
 
 
-
-
 BEARS = 6  # runs at a time at each of two servers
 
 
@@ -407,8 +405,15 @@
         ([line(1, revision=5, entries=10), line(2, revision=6, entries=5)], {}, "shrank"),
         ([line(n, revision=n, entries=10 - n) for n in range(1, 6)], {}, "shrank"),
         ([line(1, revision=5, entries=10, kept=6), line(9, revision=6, entries=4)], {}, "shrank"),  # too soon
-        ([line(1, revision=5, entries=10, kept=1), line(2, revision=5, entries=10, kept=6),
-          line(31.5, revision=6, entries=4)], {}, "shrank"),  # five of them too soon
+        (
+            [
+                line(1, revision=5, entries=10, kept=1),
+                line(2, revision=5, entries=10, kept=6),
+                line(31.5, revision=6, entries=4),
+            ],
+            {},
+            "shrank",
+        ),  # five of them too soon
         ([], {7: 99}, "99 asks"),
         ([{"at": 1, "server": "n1", "event": "unhandled", "message": "x"}], {}, "unhandled"),
     ],
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -40,7 +40,14 @@
         self.answers: list[bytes | Unanswered] = []  # of posts, in their order
         exchange: Any = SimpleNamespace(routes={}, post=self._post)
         self.guard = g.Guard(
-            settings, "n1", "at-n1", life, self._sent, exchange, self.told.append, Log("test")  # type: ignore[arg-type]
+            settings,
+            "n1",
+            "at-n1",
+            life,
+            self._sent,
+            exchange,
+            self.told.append,  # type: ignore[arg-type]
+            Log("test"),
         )
 
     async def _post(self, *_: Any, **__: Any) -> bytes:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -511,9 +511,7 @@
 
 
 @pytest.mark.parametrize("kind", [FromTheAnswer, WithoutMargin, ForgetsToDoubt, ReleasesAnything])
-def test_a_mistake_planted_in_the_code_is_seen(
-    kind: type[k.Keeper], monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_mistake_planted_in_the_code_is_seen(kind: type[k.Keeper], monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(seed: int) -> list[str]:
         """Breaches where whoever holds anything is cut off from the store now and then, or leaves."""
         step, drift = 0.0 if kind is ReleasesAnything else 0.02, 0.0 if kind is FromTheAnswer else 0.05
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -28,9 +28,7 @@
 VARIANTS = {
     "window": _settings(advert=i.Advert.WINDOW, tells_gone=True),
     "deadlines": _settings(passes_deadline=True, stop=i.Stop.PAUSE),
-    "cold abort": _settings(
-        cold=True, cold_from=0.25, warm_up=8.0, stop=i.Stop.ABORT, advert=i.Advert.LEVEL
-    ),
+    "cold abort": _settings(cold=True, cold_from=0.25, warm_up=8.0, stop=i.Stop.ABORT, advert=i.Advert.LEVEL),
     "shared": _settings(below=i.Below.SHARED, calls_out=0.7, calls_over=5.0, advert=i.Advert.WEIGHT),
     "no advice": _settings(retry_after=False, worth_by_work=True),
     "small": _settings(memory_kb=260.0, cores=1),
--- a/tests/test_uwsgi.py
+++ b/tests/test_uwsgi.py
@@ -271,7 +271,9 @@
             big = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 1_000_000
             n.vendors[0].mode, n.vendors[0].raw = Mode.RAW, big
             reader, writer = await asyncio.open_connection(
-                "127.0.0.1", n.gateways.port, limit=1024  # type: ignore[union-attr]
+                "127.0.0.1",
+                n.gateways.port,  # type: ignore[union-attr]
+                limit=1024,
             )
             writer.transport.get_extra_info("socket").setsockopt(1, 8, 4096)
             writer.write(uwsgi.encode(variables("GET", "/balance/1")))
