--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 .PHONY: test protos
 test:
+	ruff format --check .
 	ruff check .
 	mypy
 	python -m pytest -n 3 --dist worksteal -m "not alone"
