--- a/shelfhaven/backends/agent.py
+++ b/shelfhaven/backends/agent.py
@@ -21,7 +21,7 @@
 from shelfhaven.config import Address
 from shelfhaven.decision.interface import Outcome
 from shelfhaven.protocol import agent as wire
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
 
@@ -31,7 +31,7 @@
 SILENCE_MOST = 3.0  # seconds for the answer to a sample, ten times the longest pause that machines have
 RESTART_MARGIN = 1.0  # seconds, for clocks and delays, in telling an agent from the one before
 
-Teller: TypeAlias = Callable[[m.Told], None]
+Teller: TypeAlias = Callable[[messages.Told], None]
 ENDS = {
     "PASS": Outcome.OK,
     "FAIL": Outcome.ERROR,
@@ -40,16 +40,16 @@
 }
 
 
-def command_of(message: m.Command | m.Sample) -> wire.Command | wire.Sample:
+def command_of(message: messages.Command | messages.Sample) -> wire.Command | wire.Sample:
     """The agent's word for a command."""
     match message:
-        case m.Launch():
+        case messages.Launch():
             return wire.Launch(message.call, message.cls, message.body)
-        case m.Deliver():
+        case messages.Deliver():
             return wire.Deliver(message.call, message.body)
-        case m.Forgo():
+        case messages.Forgo():
             return wire.Forgo(message.call, message.number)
-        case m.Sample():
+        case messages.Sample():
             return wire.Sample(message.tag)
 
 
@@ -66,7 +66,7 @@
 
     def __init__(self, address: Address | None, tell: Teller, log: Log) -> None:
         self.address, self.tell, self.log = address, tell, log
-        self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log, self._flush)
+        self.mailbox: Mailbox[messages.Command | messages.Sample] = Mailbox(self._take, log, self._flush)
         self.stream: IOStream | None = None
         self.outgoing: list[bytes] = []
         self.fate: dict[str, Pending] = {}  # by run: the command that nothing was heard of since
@@ -80,11 +80,11 @@
         self.ended = False
         self.sooner = asyncio.Event()  # the pause before the next link is over
 
-    def put(self, message: m.Command | m.Sample) -> None:
+    def put(self, message: messages.Command | messages.Sample) -> None:
         """Take a command."""
         self.mailbox.put(message)
 
-    def _take(self, message: m.Command | m.Sample) -> None:
+    def _take(self, message: messages.Command | messages.Sample) -> None:
         command = command_of(message)
         if not isinstance(command, wire.Sample):
             self.fate[command.id] = Pending(command, int(self.up))
@@ -160,7 +160,7 @@
             self.up = False
             if not self.ended:
                 self.log.event("agent_link_down")
-                self.tell(m.RunnerDown())
+                self.tell(messages.RunnerDown())
 
     async def _link(self) -> None:
         assert self.address
@@ -195,23 +195,23 @@
                     self._ended(notice)
                 elif isinstance(notice, wire.Wanted):
                     self._heard_of(notice.id)
-                    self.tell(m.Wanted(notice.id, notice.number, notice.body))
+                    self.tell(messages.Wanted(notice.id, notice.number, notice.body))
             case wire.Malformed():
                 self._heard_of(notice.id)  # sent again, a launch could run what is over
                 self.log.event("agent_malformed", line=notice.line)
                 if notice.id:
-                    self.tell(m.RunDone(notice.id, Outcome.ERROR, 0.0))
+                    self.tell(messages.RunDone(notice.id, Outcome.ERROR, 0.0))
             case wire.Refusal():
                 self._refused(notice)
             case wire.Sampled():
-                self.tell(m.Sampled(notice.tag, notice.values))
+                self.tell(messages.Sampled(notice.tag, notice.values))
 
     def _ended(self, outcome: wire.Outcome) -> None:
         end = ENDS.get(outcome.end)
         if end is None:
             self.log.event("agent_unknown_end", end=outcome.end)
         body = outcome.body if end is Outcome.OK else b""
-        self.tell(m.RunDone(outcome.id, end or Outcome.ERROR, outcome.ms / 1000, body))
+        self.tell(messages.RunDone(outcome.id, end or Outcome.ERROR, outcome.ms / 1000, body))
 
     def _heard_of(self, id_: str) -> Pending | None:
         """Something was heard of a run: its command, if one was open, has its fate."""
@@ -225,11 +225,11 @@
             self.fate.clear()
             self.last = 0  # it counts anew
             self.log.event("agent_restarted")
-            self.tell(m.RunsLost(self))
+            self.tell(messages.RunsLost(self))
             self.met = now
         self.met = min(self.met, now)
         self.log.event("agent_up", loaded=greeting.loaded, since_ms=greeting.ms)
-        self.tell(m.RunnerUp(greeting.loaded, greeting.ms / 1000))
+        self.tell(messages.RunnerUp(greeting.loaded, greeting.ms / 1000))
         self.barrier = f"link{self.links}"
         self.outgoing.append(wire.encode(wire.Sample(self.barrier)))
         self._flush()
@@ -252,4 +252,4 @@
             self.log.event("agent_refused", command=refusal.command, call=refusal.id)
             # nothing more will be heard of it
             never = refusal.command == "launch"
-            self.tell(m.RunDone(refusal.id, Outcome.MOOT if never else Outcome.ERROR, 0.0))
+            self.tell(messages.RunDone(refusal.id, Outcome.MOOT if never else Outcome.ERROR, 0.0))
--- a/shelfhaven/backends/ledger.py
+++ b/shelfhaven/backends/ledger.py
@@ -21,7 +21,7 @@
 from shelfhaven.config import Address
 from shelfhaven.decision.interface import Outcome
 from shelfhaven.protocol import http
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading, peek
@@ -52,7 +52,7 @@
 
     stream: IOStream
     address: Address
-    call: m.PlaceCall | None
+    call: messages.PlaceCall | None
     sent: bool = False
     timer: asyncio.TimerHandle | None = None
     rests_since: float = 0.0
@@ -71,21 +71,21 @@
         self,
         address: Address | None,
         descriptors: Descriptors,
-        tell: Callable[[m.CallDone], None],
+        tell: Callable[[messages.CallDone], None],
         log: Log,
     ) -> None:
         self.address, self.descriptors, self.tell, self.log = address, descriptors, tell, log
         descriptors.on_free.append(self._assign)
         descriptors.on_wanted.append(self._close_resting)
-        self.mailbox: Mailbox[m.PlaceCall | m.DropCall] = Mailbox(self._take, log)
+        self.mailbox: Mailbox[messages.PlaceCall | messages.DropCall] = Mailbox(self._take, log)
         self.busy: dict[int, Connection] = {}  # by the call's ref
         self.open: set[Connection] = set()
         self.resting: deque[Connection] = deque()  # those that rest longest first
         self.trusted_at = 0.0  # from when on connections may carry more than one call
-        self.waiting: deque[tuple[m.PlaceCall, float]] = deque()  # for a connection, and until when
+        self.waiting: deque[tuple[messages.PlaceCall, float]] = deque()  # for a connection, and until when
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def put(self, message: m.PlaceCall | m.DropCall) -> None:
+    def put(self, message: messages.PlaceCall | messages.DropCall) -> None:
         """Take a call or give one up."""
         self.mailbox.put(message)
 
@@ -101,11 +101,11 @@
                 self._end(connection)
                 self._take(call)
 
-    def _take(self, message: m.PlaceCall | m.DropCall) -> None:
-        if isinstance(message, m.DropCall):
+    def _take(self, message: messages.PlaceCall | messages.DropCall) -> None:
+        if isinstance(message, messages.DropCall):
             self._drop(message.ref)
         elif self.address is None:
-            self.tell(m.CallDone(message.ref, Outcome.CONNECT_FAILED))
+            self.tell(messages.CallDone(message.ref, Outcome.CONNECT_FAILED))
         else:
             self._drop(message.ref)
             self.waiting.append((message, time.monotonic() + message.limit))
@@ -212,7 +212,7 @@
         connection.rests_since = now
         self.resting.append(connection)
 
-    def _release(self, connection: Connection) -> m.PlaceCall | None:
+    def _release(self, connection: Connection) -> messages.PlaceCall | None:
         """Take the call off its connection; nothing more is told of it."""
         call, connection.call = connection.call, None
         if connection.timer:
@@ -229,22 +229,22 @@
 
     def _finish(self, connection: Connection, outcome: Outcome, body: bytes = b"") -> None:
         if call := self._release(connection):
-            self.tell(m.CallDone(call.ref, outcome, body))
+            self.tell(messages.CallDone(call.ref, outcome, body))
 
     def _lose(self, connection: Connection, outcome: Outcome) -> None:
         """The call ends without a reply, and its connection with it: what was never sent never ran."""
         self._finish(connection, outcome if connection.sent else Outcome.CONNECT_FAILED)
         connection.end()
 
-    def _ran_out(self, connection: Connection, call: m.PlaceCall) -> None:
+    def _ran_out(self, connection: Connection, call: messages.PlaceCall) -> None:
         if connection.call is call:
             self._lose(connection, Outcome.TIMEOUT)
 
-    def _waited_out(self, call: m.PlaceCall) -> None:
+    def _waited_out(self, call: messages.PlaceCall) -> None:
         for waiting in self.waiting:
             if waiting[0] is call:
                 self.waiting.remove(waiting)
-                self.tell(m.CallDone(call.ref, Outcome.CONNECT_FAILED))
+                self.tell(messages.CallDone(call.ref, Outcome.CONNECT_FAILED))
                 return
 
     def _drop(self, ref: int) -> None:
--- a/shelfhaven/program/app.py
+++ b/shelfhaven/program/app.py
@@ -21,7 +21,7 @@
 from shelfhaven.program.fronts import Listeners, Mappings, Proxies
 from shelfhaven.program.part import Files, Part, load
 from shelfhaven.program.peers import PEERS, Peers
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.core import Core
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
@@ -155,10 +155,10 @@
             duties = DutiesPart(operator, self.core, self.membership, self.log, zones)
             self.parts.insert(at, duties)
 
-    def _runners(self) -> list[m.Runner]:
+    def _runners(self) -> list[messages.Runner]:
         """By class: the pool that the operator's file gives it, else the agent."""
         pools = self.pools
-        rest: m.Runner = self.peers.agent if self.config.agent or not pools else pools
+        rest: messages.Runner = self.peers.agent if self.config.agent or not pools else pools
         return [pools if pools and cls in pools.by_class else rest for cls in self.config.classes]
 
     def _enter(self, phase: Phase) -> None:
@@ -246,7 +246,7 @@
         stop = self.config.stop
         self.stop_at = time.monotonic() + stop
         self.closing = min(CLOSING_MOST, CLOSING_PART * stop)
-        self.core.put(m.Leave(stop - ANSWERED_PART * self.closing))
+        self.core.put(messages.Leave(stop - ANSWERED_PART * self.closing))
         self.leave.set()
 
     async def _drain(self) -> None:
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -21,9 +21,9 @@
 from typing import Any, Protocol, TypeAlias, TypeVar
 
 from shelfhaven.config import Config
-from shelfhaven.decision import interface as i
+from shelfhaven.decision import interface
 from shelfhaven.decision.control import Controller
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading
 
@@ -34,11 +34,24 @@
 DIGEST = 16  # bytes
 RESULTS_PART = 1 / 16  # of the program's memory, for stored results
 
-UNPLACED = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED)  # ends of a run that never began
-FAILED = (i.Outcome.ERROR, i.Outcome.TIMEOUT, i.Outcome.RESET)  # ends of one that may have had its effect
-
-Books: TypeAlias = m.Intended | m.Written | m.Fetched
-Message: TypeAlias = m.Submit | m.Cancel | m.Reject | m.Check | m.CallDone | m.Leave | m.Told | Books
+UNPLACED = (interface.Outcome.FULL, interface.Outcome.CONNECT_FAILED)  # ends of a run that never began
+FAILED = (
+    interface.Outcome.ERROR,
+    interface.Outcome.TIMEOUT,
+    interface.Outcome.RESET,
+)  # ends of one that may have had its effect
+
+Books: TypeAlias = messages.Intended | messages.Written | messages.Fetched
+Message: TypeAlias = (
+    messages.Submit
+    | messages.Cancel
+    | messages.Reject
+    | messages.Check
+    | messages.CallDone
+    | messages.Leave
+    | messages.Told
+    | Books
+)
 Key: TypeAlias = tuple[int, int, str, bytes]  # class, tenant, key, digest of what is asked
 Told = TypeVar("Told", contravariant=True)
 
@@ -50,9 +63,9 @@
         """Take a message."""
 
 
-LedgerActor: TypeAlias = Actor[m.PlaceCall | m.DropCall]
-MembersActor: TypeAlias = Actor[m.Standing]
-FrontsActor: TypeAlias = Actor[m.KeepIdle]
+LedgerActor: TypeAlias = Actor[messages.PlaceCall | messages.DropCall]
+MembersActor: TypeAlias = Actor[messages.Standing]
+FrontsActor: TypeAlias = Actor[messages.KeepIdle]
 
 
 class Keeping(Protocol):
@@ -63,7 +76,7 @@
         it may be fetched.
         """
 
-    def intend(self, ref: int, kept: m.Kept) -> None:
+    def intend(self, ref: int, kept: messages.Kept) -> None:
         """A run is to begin; `Intended` follows."""
 
     def ended(self, ref: int, id_: bytes, result: bytes | None) -> bool:
@@ -72,7 +85,7 @@
     def unrun(self, id_: bytes) -> None:
         """A run never began."""
 
-    def may_have_run(self, kept: m.Kept) -> None:
+    def may_have_run(self, kept: messages.Kept) -> None:
         """It ran out of sight, or may have."""
 
     def fetch(self, ref: int, id_: bytes) -> None:
@@ -104,7 +117,7 @@
 RUN = (Stage.RUNNING, Stage.AT_CALL, Stage.CALLING)
 
 
-def _digest(submit: m.Submit) -> bytes:
+def _digest(submit: messages.Submit) -> bytes:
     """What tells one request from another under one key: its body, and what path and query add."""
     digest = hashlib.blake2b(submit.body, digest_size=DIGEST)
     for part in submit.asked.parts if submit.asked else ():
@@ -117,7 +130,7 @@
     """One try."""
 
     id: int
-    submit: m.Submit
+    submit: messages.Submit
     digest: bytes = b""  # of the body, in keyed classes
     owed: Owed = Owed.OWED
     stage: Stage = Stage.HELD
@@ -129,7 +142,7 @@
     call_body: bytes = b""
     name: bytes = b""  # of its key, in the whole fleet and on the disk; worked out once
     kept: bool = False  # its intent is written down
-    ended: tuple[i.Outcome, float, bytes | None] | None = None  # while that is written down
+    ended: tuple[interface.Outcome, float, bytes | None] | None = None  # while that is written down
     waiters: list[int] = field(default_factory=list)
 
     @property
@@ -167,8 +180,8 @@
         settings = replace(config.settings, tick=max(config.settings.tick, GAUGES_WITHIN))
         self.controller = Controller(settings, config.seed)
         self.mailbox: Mailbox[Message] = Mailbox(self._take, log)
-        self.runners: Sequence[m.Runner]  # by class
-        self.gauged: m.Runner  # tells the gauges
+        self.runners: Sequence[messages.Runner]  # by class
+        self.gauged: messages.Runner  # tells the gauges
         self.ledger: LedgerActor
         self.members: MembersActor
         self.fronts: FrontsActor
@@ -182,7 +195,7 @@
         self.result_bytes = 0
         self.result_room = int(config.limits.memory_mb * RESULTS_PART * (1 << 20))
         self.unsure: list[Request] = []  # given up by callers that may have had them run elsewhere
-        self.events: deque[i.Event] = deque()  # told to the module after the actions in hand
+        self.events: deque[interface.Event] = deque()  # told to the module after the actions in hand
         self.timers: list[tuple[float, int, int, int]] = []  # due, order, token, request that it is for
         self.order = itertools.count()
         self.alarm: asyncio.TimerHandle | None = None
@@ -203,7 +216,11 @@
         self.logged: Counter[str] = Counter()  # of them, at the last look
 
     def connect(
-        self, runners: Sequence[m.Runner], ledger: LedgerActor, members: MembersActor, fronts: FrontsActor
+        self,
+        runners: Sequence[messages.Runner],
+        ledger: LedgerActor,
+        members: MembersActor,
+        fronts: FrontsActor,
     ) -> None:
         """Learn the actors that actions go to; `runners` by class, the first tells the gauges."""
         self.runners, self.gauged = runners, runners[0]
@@ -236,62 +253,62 @@
             self._note(message)
         except Exception:
             self.log.event("message_failed", error=traceback.format_exc(limit=-4))
-            if isinstance(message, m.Submit):
+            if isinstance(message, messages.Submit):
                 self._fail_submit(message)
         self._settle()
 
-    def _fail_submit(self, submit: m.Submit) -> None:
+    def _fail_submit(self, submit: messages.Submit) -> None:
         request = self.by_ref.get((id(submit.front), submit.ref))
         if request is None:
-            submit.front.answer(m.Failed(submit.ref, FAULT, self.load))
+            submit.front.answer(messages.Failed(submit.ref, FAULT, self.load))
             return
         self._give_up(request, FAULT)
         self._forget_if_done(request)
 
     def _note(self, message: Message) -> None:
         match message:
-            case m.Submit():
+            case messages.Submit():
                 self._submit(message)
-            case m.Cancel():
+            case messages.Cancel():
                 self._cancel(message)
-            case m.Reject():
-                message.front.answer(m.Failed(message.ref, message.text, self.load, message.code))
-            case m.Check():
-                message.front.answer(m.Healthy(message.ref, self.good and self.ready(), self.load))
-            case m.RunDone():
+            case messages.Reject():
+                message.front.answer(messages.Failed(message.ref, message.text, self.load, message.code))
+            case messages.Check():
+                message.front.answer(messages.Healthy(message.ref, self.good and self.ready(), self.load))
+            case messages.RunDone():
                 if request := self._run_of(message.call):
                     self._run_ended(request, message.outcome, message.spent, message.body, message.advice)
-            case m.Wanted():
+            case messages.Wanted():
                 self._wanted(message)
-            case m.Sampled():
+            case messages.Sampled():
                 self._sampled(message)
-            case m.RunnerUp():
+            case messages.RunnerUp():
                 self._start()
-            case m.RunnerDown():
+            case messages.RunnerDown():
                 self._fire_soon(self.sampling)
-            case m.RunsLost():
+            case messages.RunsLost():
                 self._runs_lost(message.runner)
-            case m.CallDone():
+            case messages.CallDone():
                 self._call_done(message)
-            case m.Intended():
+            case messages.Intended():
                 self._intended(message)
-            case m.Written():
+            case messages.Written():
                 self._written(message.ref)
-            case m.Fetched():
+            case messages.Fetched():
                 self._fetched(message)
-            case m.Leave():
+            case messages.Leave():
                 self._leave(message)
 
     def _start(self) -> None:
         if not self.started:
             self.started = True
             self.log.event("module_started", cold=self.config.settings.cold)
-            self.events.append(i.Started())
+            self.events.append(interface.Started())
 
-    def _submit(self, submit: m.Submit) -> None:
+    def _submit(self, submit: messages.Submit) -> None:
         self._start()
         if submit.call in self.by_call or (id(submit.front), submit.ref) in self.by_ref:
-            submit.front.answer(m.Failed(submit.ref, "this try is in hand already", self.load))
+            submit.front.answer(messages.Failed(submit.ref, "this try is in hand already", self.load))
             return
         request = Request(next(self.ids), submit)
         if submit.dedupe:
@@ -301,7 +318,7 @@
         self.requests[request.id] = self.by_call[submit.call] = request
         self.by_ref[id(submit.front), submit.ref] = request
         self.events.append(
-            i.Arrival(
+            interface.Arrival(
                 id=request.id,
                 cls=submit.cls,
                 caller=submit.caller,
@@ -320,7 +337,7 @@
 
     def _same_as(self, request: Request, reached: float) -> int:
         """The try that a keyed one repeats: by when it reached the machine, however late it is read."""
-        if self.config.settings.classes[request.submit.cls].repeat is not i.Repeat.KEYED:
+        if self.config.settings.classes[request.submit.cls].repeat is not interface.Repeat.KEYED:
             return 0
         entry = self.table.get(request.key)
         if entry is None and self.keeping:
@@ -348,7 +365,7 @@
         heapq.heappush(self.table_ends, (entry.forgotten, request.key))
         return entry
 
-    def _cancel(self, cancel: m.Cancel) -> None:
+    def _cancel(self, cancel: messages.Cancel) -> None:
         request = self.by_ref.pop((id(cancel.front), cancel.ref), None)
         if request is None:
             return
@@ -356,7 +373,7 @@
         request.unsure = cancel.may_run and bool(request.submit.dedupe)
         if request.unsure and request.stage is Stage.HELD:
             self.unsure.append(request)
-        self.events.append(i.Gone(request.id))
+        self.events.append(interface.Gone(request.id))
 
     def _run_of(self, call: str) -> Request | None:
         """The request of that name, if it runs."""
@@ -365,32 +382,37 @@
 
     def _drop_call(self, request: Request) -> None:
         if request.stage is Stage.CALLING:
-            self.ledger.put(m.DropCall(request.id))
+            self.ledger.put(messages.DropCall(request.id))
 
     def _run_ended(
-        self, request: Request, end: i.Outcome, spent: float, body: bytes | None = b"", advice: float = 0.0
+        self,
+        request: Request,
+        end: interface.Outcome,
+        spent: float,
+        body: bytes | None = b"",
+        advice: float = 0.0,
     ) -> None:
         self._drop_call(request)
         if request.kept and self.keeping:
             request.kept = False
             if end in UNPLACED:
                 self.keeping.unrun(request.name)
-            elif self.keeping.ended(request.id, request.name, body if end is i.Outcome.OK else None):
+            elif self.keeping.ended(request.id, request.name, body if end is interface.Outcome.OK else None):
                 request.stage, request.ended = Stage.ENDING, (end, spent, body)
                 return
         if end in UNPLACED:  # a refusal may promise that it never ran
             request.launched = False
             if request.unsure:  # its launch crossed the end of its stream
                 self.unsure.append(request)
-        self._over(request, body if end is i.Outcome.OK else None)
-        if end is i.Outcome.OK:
-            self._answer(request, m.Served(request.submit.ref, body or b"", self.load))
+        self._over(request, body if end is interface.Outcome.OK else None)
+        if end is interface.Outcome.OK:
+            self._answer(request, messages.Served(request.submit.ref, body or b"", self.load))
         elif end in FAILED:
             self._fail(request, "the run failed")
             if request.submit.dedupe and self._keyed(request):
                 submit = request.submit
                 self.unclear(self.config.classes[submit.cls], self._tenant(submit), submit.dedupe)
-        self.events.append(i.RunEnded(request.id, end, spent, advice))
+        self.events.append(interface.RunEnded(request.id, end, spent, advice))
 
     def _written(self, ref: int) -> None:
         request = self.requests.get(ref)
@@ -398,38 +420,38 @@
             ended, request.ended = request.ended, None
             self._run_ended(request, *ended)
 
-    def _wanted(self, wanted: m.Wanted) -> None:
+    def _wanted(self, wanted: messages.Wanted) -> None:
         request = self._run_of(wanted.call)
         if request is None:
             return
         self._drop_call(request)  # it waits for another by now
         request.stage, request.notice, request.call_body = Stage.AT_CALL, wanted.number, wanted.body
-        self.events.append(i.NeedsCall(request.id))
+        self.events.append(interface.NeedsCall(request.id))
 
-    def _call_done(self, done: m.CallDone) -> None:
+    def _call_done(self, done: messages.CallDone) -> None:
         request = self.requests.get(done.ref)
         if request is None or request.stage is not Stage.CALLING:
             return
-        if done.outcome is i.Outcome.OK:
+        if done.outcome is interface.Outcome.OK:
             request.stage = Stage.RUNNING
-            self._runner(request).put(m.Deliver(request.submit.call, done.body))
+            self._runner(request).put(messages.Deliver(request.submit.call, done.body))
         else:
             request.stage = Stage.AT_CALL
-        self.events.append(i.CallEnded(request.id, done.outcome, self.clock() - request.since))
+        self.events.append(interface.CallEnded(request.id, done.outcome, self.clock() - request.since))
 
-    def _runner(self, request: Request) -> m.Runner:
+    def _runner(self, request: Request) -> messages.Runner:
         return request.submit.runner or self.runners[request.submit.cls]
 
-    def _runs_lost(self, runner: m.Runner) -> None:
+    def _runs_lost(self, runner: messages.Runner) -> None:
         for request in list(self.requests.values()):
             if request.stage in RUN and self._runner(request) is runner:
-                self._run_ended(request, i.Outcome.ERROR, 0.0)
+                self._run_ended(request, interface.Outcome.ERROR, 0.0)
 
-    def _leave(self, leave: m.Leave) -> None:
+    def _leave(self, leave: messages.Leave) -> None:
         self.draining = True
-        self.members.put(m.Standing(False))
+        self.members.put(messages.Standing(False))
         self._start()
-        self.events.append(i.Drain(leave.left))
+        self.events.append(interface.Drain(leave.left))
 
     # The module
 
@@ -455,14 +477,14 @@
         self._purge()
         self._set_alarm()
 
-    def _salvage(self, event: i.Event) -> None:
+    def _salvage(self, event: interface.Event) -> None:
         """The module failed on an event: what it concerns is answered, and a timer comes again."""
-        if isinstance(event, i.Timer):
+        if isinstance(event, interface.Timer):
             self._set_timer(event.token, REDELIVERED_AFTER)
         elif request := self._concerned(event):
             self._give_up(request, FAULT)
 
-    def _tidy(self, event: i.Event) -> None:
+    def _tidy(self, event: interface.Event) -> None:
         """Forget the request of an event once it is answered and its work is over."""
         request = self._concerned(event)
         if request is None:
@@ -471,9 +493,13 @@
             self._over(request, None)
         self._forget_if_done(request)
 
-    def _concerned(self, event: i.Event) -> Request | None:
+    def _concerned(self, event: interface.Event) -> Request | None:
         """The request that an event is about, if it is about one that is still in the books."""
-        return None if isinstance(event, i.Started | i.Drain | i.Timer) else self.requests.get(event.id)
+        return (
+            None
+            if isinstance(event, interface.Started | interface.Drain | interface.Timer)
+            else self.requests.get(event.id)
+        )
 
     def _forget_if_done(self, request: Request) -> None:
         if request.owed is not Owed.OWED and request.stage is Stage.OVER:
@@ -482,20 +508,20 @@
 
     # Actions to messages
 
-    def _act(self, action: i.Action) -> None:
+    def _act(self, action: interface.Action) -> None:
         match action:
-            case i.SetTimer():
+            case interface.SetTimer():
                 self._set_timer(action.token, action.delay, action.id)
-            case i.Health():
+            case interface.Health():
                 self.good = action.good
                 up = not self.draining and (self.good or not self.config.settings.readiness)
-                self.members.put(m.Standing(up))
+                self.members.put(messages.Standing(up))
                 self.log.event("health", good=self.good)
-            case i.Publish():
+            case interface.Publish():
                 self.load = action.value
-            case i.CloseIdle():
-                self.fronts.put(m.KeepIdle(action.ttl))
-            case i.Halt():
+            case interface.CloseIdle():
+                self.fronts.put(messages.KeepIdle(action.ttl))
+            case interface.Halt():
                 self.log.event("no_word_for", action=type(action).__name__)
             case _:
                 request = self.requests.get(action.id)
@@ -503,47 +529,47 @@
                     self._act_on(request, action)
                     self._forget_if_done(request)
 
-    def _act_on(self, request: Request, action: i.Action) -> None:
+    def _act_on(self, request: Request, action: interface.Action) -> None:
         match action:
-            case i.Run() if request.stage is Stage.HELD and request.owed is Owed.OWED:
+            case interface.Run() if request.stage is Stage.HELD and request.owed is Owed.OWED:
                 if self.keeping and self._claim(request):
                     request.stage = Stage.WRITING
                     entry = self._entry(request.key, request.id)
                     self.keeping.intend(request.id, self._kept(request, entry))
                 else:
                     self._begin(request)
-            case i.Run() if request.stage is Stage.HELD:
-                self.events.append(i.RunEnded(request.id, i.Outcome.MOOT, 0.0))
-            case i.Refuse():
+            case interface.Run() if request.stage is Stage.HELD:
+                self.events.append(interface.RunEnded(request.id, interface.Outcome.MOOT, 0.0))
+            case interface.Refuse():
                 self._refuse(request, action)
-            case i.Fail():
+            case interface.Fail():
                 self._give_up(request, "given up")
-            case i.Keep():
+            case interface.Keep():
                 self._keep(request, action.ttl)
-            case i.Forget():
+            case interface.Forget():
                 if self._entry(request.key, request.id):
                     self._drop_entry(request.key)
-            case i.Reuse() if request.stage is Stage.HELD:
+            case interface.Reuse() if request.stage is Stage.HELD:
                 self._reuse(request)
-            case i.Call() if request.stage is Stage.AT_CALL:
+            case interface.Call() if request.stage is Stage.AT_CALL:
                 request.stage, request.since = Stage.CALLING, self.now
                 limit = action.limit or self.config.settings.classes[request.submit.cls].deadline
-                self.ledger.put(m.PlaceCall(request.id, request.submit.call, limit, request.call_body))
-            case i.Skip() if request.stage is Stage.AT_CALL:
+                self.ledger.put(messages.PlaceCall(request.id, request.submit.call, limit, request.call_body))
+            case interface.Skip() if request.stage is Stage.AT_CALL:
                 request.stage = Stage.RUNNING
-                self._runner(request).put(m.Forgo(request.submit.call, request.notice))
+                self._runner(request).put(messages.Forgo(request.submit.call, request.notice))
 
-    def _tenant(self, submit: m.Submit) -> str:
+    def _tenant(self, submit: messages.Submit) -> str:
         names = self.config.tenants
         return names[submit.tenant] if 0 <= submit.tenant < len(names) else ""
 
-    def _kept(self, request: Request, entry: Entry | None) -> m.Kept:
+    def _kept(self, request: Request, entry: Entry | None) -> messages.Kept:
         """A keyed request as it is written down."""
         submit = request.submit
         cls, left = self.config.classes[submit.cls], entry.forgotten - self.now if entry else 0.0
-        return m.Kept(self._claim(request), cls, self._tenant(submit), submit.dedupe, left)
+        return messages.Kept(self._claim(request), cls, self._tenant(submit), submit.dedupe, left)
 
-    def _intended(self, told: m.Intended) -> None:
+    def _intended(self, told: messages.Intended) -> None:
         request = self.requests.get(told.ref)
         if request is None or request.stage is not Stage.WRITING:
             return
@@ -552,7 +578,7 @@
             self._begin(request)
         else:  # not in time, or not sure to outlive this process: it never begins
             advice = told.advice or LEAST_BUDGET
-            self._run_ended(request, i.Outcome.FULL, 0.0, advice=advice)
+            self._run_ended(request, interface.Outcome.FULL, 0.0, advice=advice)
 
     def _begin(self, request: Request) -> None:
         request.stage, request.launched = Stage.RUNNING, True
@@ -561,8 +587,8 @@
     def _launch(self, request: Request) -> None:
         submit = request.submit
         cls = self.config.settings.classes[submit.cls]
-        again = cls.repeat is i.Repeat.SAFE
-        launch = m.Launch(
+        again = cls.repeat is interface.Repeat.SAFE
+        launch = messages.Launch(
             submit.call, self.config.classes[submit.cls], submit.body, self._left(request), again,
             submit.dedupe, submit.asked, self._claim(request) if self.claims else b"",
         )  # fmt: skip
@@ -586,7 +612,7 @@
         wait = min(deadline, submit.budget) if submit.budget > 0 else deadline
         return submit.recv + wait - self.wall()
 
-    def _answer(self, request: Request, answer: m.Answer) -> None:
+    def _answer(self, request: Request, answer: messages.Answer) -> None:
         """The one place where an answer leaves: only while it is owed, so never twice."""
         if request.owed is Owed.OWED:
             request.owed = Owed.GIVEN
@@ -596,7 +622,7 @@
 
     def _fail(self, request: Request, text: str) -> None:
         late = self._left(request) <= self.controller.margin + GAUGES_WITHIN
-        self._answer(request, m.Failed(request.submit.ref, text, self.load, late=late))
+        self._answer(request, messages.Failed(request.submit.ref, text, self.load, late=late))
 
     def _give_up(self, request: Request, text: str) -> None:
         """Answer as failed; what has not run never will, what runs goes on."""
@@ -604,11 +630,13 @@
         if request.stage in UNRUN:
             self._over(request, None)
 
-    def _refuse(self, request: Request, action: i.Refuse) -> None:
+    def _refuse(self, request: Request, action: interface.Refuse) -> None:
         if request.launched:  # a refusal would promise that it never ran
             self._fail(request, "given up")
             return
-        self._answer(request, m.Refused(request.submit.ref, action.retry_after, action.stay, self.load))
+        self._answer(
+            request, messages.Refused(request.submit.ref, action.retry_after, action.stay, self.load)
+        )
         self._over(request, None)
 
     def _over(self, request: Request, result: bytes | None) -> None:
@@ -637,7 +665,7 @@
 
     def _keyed(self, request: Request) -> bool:
         """Whether its class runs at most once for a key."""
-        return self.config.settings.classes[request.submit.cls].repeat is i.Repeat.KEYED
+        return self.config.settings.classes[request.submit.cls].repeat is interface.Repeat.KEYED
 
     def _keep_unsure(self, request: Request) -> None:
         """What may have run out of sight is kept as run, with no result: under a number that the module never
@@ -692,7 +720,7 @@
             return
         self._reuse_ended(request, entry.result if entry else None)
 
-    def _fetched(self, fetched: m.Fetched) -> None:
+    def _fetched(self, fetched: messages.Fetched) -> None:
         self._reuse_ended(self.requests.get(fetched.ref), fetched.result)
 
     def _reuse_ended(self, request: Request | None, result: bytes | None) -> None:
@@ -700,11 +728,11 @@
             return
         request.stage = Stage.OVER
         if result is not None:
-            self._answer(request, m.Served(request.submit.ref, result, self.load))
+            self._answer(request, messages.Served(request.submit.ref, result, self.load))
         else:
             self._fail(request, "the try that this one repeats brought no result")
-        outcome = i.Outcome.ERROR if result is None else i.Outcome.OK
-        self.events.append(i.RunEnded(request.id, outcome, self.now - request.since))
+        outcome = interface.Outcome.ERROR if result is None else interface.Outcome.OK
+        self.events.append(interface.RunEnded(request.id, outcome, self.now - request.since))
 
     # Timers: what lies in the sockets is read before a timer is told, and gauges come fresh
 
@@ -729,12 +757,12 @@
         self.alarm, self.alarm_at = None, float("inf")
         self.sampling = f"t{next(self.samples)}"
         if self.gauged.up:
-            self.gauged.put(m.Sample(self.sampling))
+            self.gauged.put(messages.Sample(self.sampling))
             asyncio.get_running_loop().call_later(GAUGES_WITHIN, self._fire_soon, self.sampling)
         else:
             self._fire_soon(self.sampling)
 
-    def _sampled(self, sampled: m.Sampled) -> None:
+    def _sampled(self, sampled: messages.Sampled) -> None:
         self.gauges = sampled.values
         if sampled.tag == self.sampling:
             self._fire()
@@ -754,4 +782,4 @@
         while self.timers and self.timers[0][0] <= now:
             _, _, token, id_ = heapq.heappop(self.timers)
             if not id_ or id_ in self.requests:
-                self.events.append(i.Timer(token, self.gauges))
+                self.events.append(interface.Timer(token, self.gauges))
--- a/shelfhaven/server/members.py
+++ b/shelfhaven/server/members.py
@@ -15,7 +15,7 @@
 from shelfhaven.config import Address
 from shelfhaven.protocol import members as wire
 from shelfhaven.routing.spread import spread
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
 
@@ -27,13 +27,13 @@
 
     def __init__(self, address: Address | None, name: str, log: Log) -> None:
         self.address, self.name = address, name
-        self.mailbox: Mailbox[m.Standing] = Mailbox(self._take, log)
+        self.mailbox: Mailbox[messages.Standing] = Mailbox(self._take, log)
         self.up = True
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         self.timer: asyncio.TimerHandle | None = None
 
-    def put(self, message: m.Standing) -> None:
+    def put(self, message: messages.Standing) -> None:
         """Take what is to be reported from now on."""
         self.mailbox.put(message)
 
@@ -54,7 +54,7 @@
         pause = EVERY * spread(self.name, "report")
         self.timer = asyncio.get_running_loop().call_later(pause, self._report)
 
-    def _take(self, standing: m.Standing) -> None:
+    def _take(self, standing: messages.Standing) -> None:
         if standing.up != self.up:
             self.up = standing.up
             if self.timer:
