Settings nested beyond all measure are a configuration fault, not a traceback

Seen by drawing faults in the settings (2,500 mutations: no other exception than ConfigError, none in the module's first events): a thousand nested objects ended the start with RecursionError and exit code 1 (config.py, _flatten). The message names the key and the code is 2, as for any faulty file. The test fails on the code before.

--- a/shelfhaven/config.py
+++ b/shelfhaven/config.py
@@ -310,7 +310,11 @@
         raise ConfigError("name: missing or not one printable word")
     if not isinstance(data.get("settings"), dict):
         raise ConfigError("settings: missing or not an object")
-    o = Options(dict(_flatten(data["settings"], "")), "settings.")
+    try:
+        pairs = dict(_flatten(data["settings"], ""))
+    except RecursionError:
+        raise ConfigError("settings: nested too deeply") from None
+    o = Options(pairs, "settings.")
     settings, unsupported = _server_settings(o)
     return Config(
         name=name,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -162,3 +162,10 @@
 
 def test_version() -> None:
     assert CliRunner().invoke(main, ["version"]).output == f"{__version__}\n"
+
+
+def test_settings_nested_beyond_all_measure_are_a_fault_that_names_them() -> None:
+    depth = 1000
+    text = b'{"name":"n3","settings":' + b'{"a":' * depth + b"1" + b"}" * depth + b"}"
+    with pytest.raises(config.ConfigError, match="settings: nested too deeply"):
+        config.parse_json(text)
