--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -22,8 +22,8 @@
 import psutil
 
 from shelfhaven.lab.callers import Router, until
-from shelfhaven.lab.node import free_port
 from shelfhaven.lab.platform import Agent, Ledger, Members
+from shelfhaven.lab.ports import reserved_port
 
 CONNECTIONS = 40  # at a time
 PER_CONNECTION = 30  # requests until a router closes it
@@ -90,7 +90,7 @@
     agent, ledger, members = Farm(random), Ledger(), Members()
     await agent.start()
     await ledger.start()
-    port = free_port()
+    port = reserved_port()
     data = {"name": "m", "listen": f"127.0.0.1:{port}", "agent": f"127.0.0.1:{agent.port}", "seed": "5",
             "members": f"127.0.0.1:{members.port}", "ledger": f"127.0.0.1:{ledger.port}", "stop_ms": 1000,
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024}, "settings": SETTINGS}  # fmt: skip
--- a/benchmarks/uwsgi.py
+++ b/benchmarks/uwsgi.py
@@ -28,7 +28,8 @@
 from shelfhaven.lab import checker, demo
 from shelfhaven.lab.callers import Router, ask, connect, read_reply, variables
 from shelfhaven.lab.checker import Kind, Try
-from shelfhaven.lab.node import free_address, served
+from shelfhaven.lab.node import served
+from shelfhaven.lab.ports import reserved_address
 from shelfhaven.lab.vendor import Ran, Vendor
 from shelfhaven.protocol import uwsgi
 
@@ -93,7 +94,7 @@
     """CPU of the node for a request by each protocol, in turn: medians over rounds."""
     spent: dict[str, list[float]] = {"uwsgi": [], "uwsgi_kept": [], "jsonrpc": []}
     vendors = await started(4, 0.0)
-    gateways, kept, routers = free_address(), free_address(), free_address()
+    gateways, kept, routers = reserved_address(), reserved_address(), reserved_address()
     file = text(vendors, gateways, routers, 64)
     file += f'listen "k" protocol="uwsgi" address="{kept}" mapping="m" keep=true within="60s"\n'
     async with served(file, routers) as node:
@@ -146,7 +147,7 @@
 async def added(seconds: float, rate: float) -> dict[str, float]:
     """Latency through the node over that of the server itself, from the intended time of sending."""
     vendors = await started(4, 0.02)
-    gateways, routers = free_address(), free_address()
+    gateways, routers = reserved_address(), reserved_address()
     seen = {name: HdrHistogram(1, 60_000_000, 3) for name in ("direct", "node")}
     random = Random(5)
     async with served(text(vendors, gateways, routers, 16), routers) as node:
@@ -178,7 +179,7 @@
 async def per_connection(count: int) -> dict[str, float]:
     """Memory of an open, idle connection, by protocol."""
     vendors = await started(1, 0.0)
-    gateways, routers = free_address(), free_address()
+    gateways, routers = reserved_address(), reserved_address()
     figures: dict[str, float] = {}
     async with served(text(vendors, gateways, routers, 16, keep=True), routers) as node:
         process = psutil.Process(node.pid)
@@ -215,7 +216,7 @@
     async def side(name: str, command: list[str]) -> None:
         nonlocal failed
         vendors = await started(4, 0.05, seed=7)
-        gateways, routers = free_address(), free_address()
+        gateways, routers = reserved_address(), reserved_address()
         async with served(text(vendors, gateways, routers, 16), routers, command) as node:
             good, sent = 0, 0
             tasks: list[asyncio.Future[Any]] = []
@@ -323,7 +324,7 @@
     """Seconds until a node listens, its CPU and its memory then: medians."""
     up, cpu, memory = [], [], []
     for _ in range(runs):
-        address = free_address()
+        address = reserved_address()
         with tempfile.NamedTemporaryFile(suffix=".json") as file:
             file.write(orjson.dumps({**PLATFORM, "listen": str(address)}))
             file.flush()
--- a/shelfhaven/lab/demo.py
+++ b/shelfhaven/lab/demo.py
@@ -20,7 +20,8 @@
 from shelfhaven.lab import checker
 from shelfhaven.lab.callers import LOST, NOT_REACHED, Reply, Router, ask, connect
 from shelfhaven.lab.checker import Kind, Try
-from shelfhaven.lab.node import free_address, served
+from shelfhaven.lab.node import served
+from shelfhaven.lab.ports import reserved_address
 from shelfhaven.lab.proxy import Exchange, Proxy
 from shelfhaven.lab.vendor import Ran, Vendor, made
 
@@ -204,7 +205,7 @@
     vendors = [Vendor(f"vendor-{n}", runs, WORKERS, MEAN, seed + n) for n in range(SERVERS)]
     for vendor in vendors:
         await vendor.start()
-    gateways, routers, proxies = free_address(), free_address(), free_address()
+    gateways, routers, proxies = reserved_address(), reserved_address(), reserved_address()
     servers = "\n".join(f'    server "{vendor.address}"' for vendor in vendors)
     places = {"gateways": gateways, "routers": routers, "proxies": proxies, "servers": servers}
     text = FILE.format(**places, at_once=(SERVERS + 1) * WORKERS)
--- a/shelfhaven/lab/fleet.py
+++ b/shelfhaven/lab/fleet.py
@@ -23,7 +23,7 @@
 from shelfhaven.config import Address
 from shelfhaven.lab.callers import Reply, ask
 from shelfhaven.lab.links import Gate, Net
-from shelfhaven.lab.node import steady_port
+from shelfhaven.lab.ports import reserved_port
 
 FILE = """
 node "{name}" stop="{stop}" memory="64MB" descriptors=256
@@ -159,17 +159,17 @@
 
     async def add(self, name: str, zone: str = "z0") -> FleetNode:
         """A node that is not started yet."""
-        peer = steady_port()
+        peer = reserved_port()
         # one number for connections and datagrams, that neither gives a near end by chance
-        gate = await self.net.gate(name, steady_port() if self.values["datagrams"] else 0, peer)
+        gate = await self.net.gate(name, reserved_port() if self.values["datagrams"] else 0, peer)
         gate.names = lambda address: self.by_gate.get(address, address)
         self.by_gate[f"127.0.0.1:{gate.port}"] = name
         if self.values["datagrams"]:
             self.by_port[peer] = name
             await self.net.datagrams(name, gate.port, peer, lambda port: self.by_port.get(port, "?"))
         way = await self.net.gate("store", 0, self.store_port, source=name) if self.store_port else None
-        routers = steady_port() if self.values["with_routers"] else 0
-        node = FleetNode(name, zone, steady_port(), peer, gate, way, self.folder, routers)
+        routers = reserved_port() if self.values["with_routers"] else 0
+        node = FleetNode(name, zone, reserved_port(), peer, gate, way, self.folder, routers)
         self.nodes[name] = node
         return node
 
--- a/shelfhaven/lab/zonefleet.py
+++ b/shelfhaven/lab/zonefleet.py
@@ -236,7 +236,7 @@
 @contextlib.asynccontextmanager
 async def voting(**changes: Any) -> AsyncIterator[World]:
     """A world that is up, and whose keepers vote."""
-    async with world(keys=True, topup=TOPUP, **changes) as w:
+    async with world(keys=True, **{"topup": TOPUP, **changes}) as w:
         await w.up()
         await w.open_()
         yield w
