--- a/tests/test_state_fleet.py
+++ b/tests/test_state_fleet.py
@@ -156,7 +156,7 @@
 
 @played
 async def test_the_command_line_shows_checks_and_copies_beside_a_running_node() -> None:
-    async with world() as w:
+    async with world(topup='deadline="1500ms" window="60s"') as w:
         await w.up()
         for n in range(5):
             await w.topped_up(f"k{n}")
@@ -171,7 +171,22 @@
         said, code = await w.node.command("state", "restore", str(to))
         assert (code, "5 keys" in said) == (0, True)
         await w.up()
-        assert w.node.events("keys_loaded")[-1]["unsure"] > 5.0
+        assert w.node.events("keys_loaded")[-1]["unsure"] > 55.0
         await w.failed("new")  # it may have run after the snapshot
         await w.served("k3")
+
+
+@played
+async def test_keys_are_sure_again_once_the_longest_window_since_a_restored_snapshot_is_over() -> None:
+    async with world() as w:
+        await w.up()
+        await w.served("k1")
+        to = w.fleet.folder / "shot"
+        assert (await w.node.command("state", "snapshot", str(to)))[1] == 0
+        await w.fleet.kill(w.node)
+        assert (await w.node.command("state", "restore", str(to)))[1] == 0
+        await w.up()
+        assert w.node.events("keys_loaded")[-1]["unsure"] > 5.0
+        await w.failed("new")
         await soon(lambda: w.node.events("load")[-1]["keys_file"]["unsure"] == 0.0, 20.0)
+        await w.served("new")
