What is worth less for its work, tenants over their share first, is turned away first

Ruled out: the order of the hold (worth is in it already; most refusals come at the arrival). Taken for granted before: that tenants send about their share, and that classes differ by little, as in the first deployments. Now a request below the ceiling is protected by one empty counter's worth of refusals for each doubling (two at most) of its worth for its work over the mean of arrivals; its tenant's part within the share, by arrivals here against its quota for one server, is in it. Callers over the ceiling still go first, whatever they bring. Might hurt where the worst-served class counts for more than its worth.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -25,7 +25,10 @@
 GAIN_P, GAIN_I = 0.3, 0.5  # share lost at once, and per second, for a wait one aim too long
 WAIT_MOST = 3.0  # longest wait that the loop sees, in wait aims: what is given up counts as this
 SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
-RANK_STEP = 3.0  # refusals owed, beside one, that protect a caller whose counter is empty
+RANK_STEP = 3.0  # refusals owed, beside one, that protect an empty counter, and each doubling of worth
+DOUBLINGS_MOST = 2.0  # of a request's worth for its work over the mean of arrivals, that count
+WORTH_GAIN = 1 / 64  # weight of a new arrival in that mean: some tens, so that rare worthy ones count
+TENANT_SPAN = 5.0  # seconds over which a tenant's arrivals are averaged
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
@@ -84,7 +87,7 @@
 
     __slots__ = (
         "again", "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id",
-        "ran", "read_at", "start_by", "state", "stopping", "waiters",
+        "ran", "read_at", "start_by", "state", "stopping", "waiters", "worth",
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
@@ -98,6 +101,7 @@
         self.answered = self.stopping = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
         self.waiters, self.began, self.again = 0, math.inf, False  # again: its call was placed twice
+        self.worth = 0.0  # what it is worth on average, its tenant's share considered
 
 
 class CallerList:
@@ -193,6 +197,24 @@
         self.pieces.append((at, area))
 
 
+class Tenants:
+    """How much of each tenant's traffic is within its share, by its arrivals here."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self.over = settings.over_share_worth
+        self.quotas = [tenant.quota_per_s / max(1, settings.servers) for tenant in settings.tenants]
+        self.rates, self.last = [0.0] * len(self.quotas), [0.0] * len(self.quotas)
+
+    def arrive(self, now: float, tenant: int) -> float:
+        """Note an arrival; the part of its class's worth that it has on average."""
+        if not 0 <= tenant < len(self.quotas):
+            return 1.0
+        elapsed, self.last[tenant] = now - self.last[tenant], now
+        self.rates[tenant] = self.rates[tenant] * math.exp(-elapsed / TENANT_SPAN) + 1 / TENANT_SPAN
+        within = min(1.0, self.quotas[tenant] / self.rates[tenant])
+        return within + self.over * (1 - within)
+
+
 class Controller:
     """Decides what one server takes, runs and turns away."""
 
@@ -202,7 +224,8 @@
         self.settings = s = settings
         self.margin = MARGIN_TICKS * s.tick  # answers go out this long before they are due
         self.out: list[i.Action] = []
-        self.callers = CallerList()
+        self.callers, self.tenants = CallerList(), Tenants(settings)
+        self.mix = [0.0] * len(s.classes)  # part of arrivals by class, each by its tenant's part of worth
         self.requests: dict[int, Request] = {}
         self.hold: dict[int, Request] = {}
         self.kept: dict[int, float] = {}  # table of keys: request, end of its entry
@@ -280,7 +303,7 @@
             self._repeat(now, request, event.same_as)
         elif self._must_refuse(now, request):
             self._refuse(request, stay=False)
-        elif self._shed(caller):
+        elif self._shed(request):
             self._refuse(request, stay=True)
         else:
             self.callers.charge(caller)
@@ -297,6 +320,10 @@
         aim = min(cls.deadline, cls.aim + cls.aim_stretch * _sane(event.hint))
         due = max(now, min(due, self.stop_at) - self.margin)
         request = Request(event, caller, now, due, min(due, reached + aim))
+        part = self.tenants.arrive(now, event.tenant)
+        request.worth = cls.worth * part
+        gain = WORTH_GAIN if any(self.mix) else 1.0
+        self.mix = [m + gain * (part * (c == event.cls) - m) for c, m in enumerate(self.mix)]
         self.requests[request.id] = request
         self._move(request, State.HELD)
         return request
@@ -311,13 +338,32 @@
         late = self._decide_by(request) <= now or request.arrived > self.drain_at + self.settings.drain_grace
         return late or full or self.stalled or (self.sick and now + self._expected(request) > request.aim_at)
 
-    def _shed(self, caller: Caller) -> bool:
-        """The headway rule: below full admission, callers over the ceiling, then highest counters."""
-        self.debt = min(self.debt + 1 - self.share, 2 + RANK_STEP) if self.share < 1 else 0.0
-        shed = self.share < 1 and self.debt >= self.callers.protection(caller)
+    def _shed(self, request: Request) -> bool:
+        """The headway rule: below full admission, callers over the ceiling, then highest counters.
+
+        Below the ceiling each doubling of worth for the work protects as much as an empty counter.  Guards
+        against tenants over their share and against floods of what is worth little: they cost themselves.
+        It can do harm where the worst-served class counts for more than its worth.
+        """
+        most = 2 + RANK_STEP * (1 + DOUBLINGS_MOST)
+        self.debt = min(self.debt + 1 - self.share, most) if self.share < 1 else 0.0
+        protection = self.callers.protection(request.caller)
+        protection += RANK_STEP * self._doublings(request) if protection else 0.0
+        shed = self.share < 1 and self.debt >= protection
         self.debt -= shed
         return shed
 
+    def _doublings(self, request: Request) -> float:
+        """How often the mean worth of arrivals for their work must be doubled to come to a request's."""
+        classes = zip(self.mix, self.settings.classes, self.mean_run, strict=True)
+        mean = sum(part * self._for_work(cls.worth, run) for part, cls, run in classes)
+        ratio = self._for_work(request.worth, self._expected(request)) / mean if mean > 0 else 1.0
+        return min(DOUBLINGS_MOST, math.log2(max(1.0, ratio)))
+
+    def _for_work(self, worth: float, run: float) -> float:
+        """Worth for the work: of a second of it where worth is counted by request."""
+        return worth if self.settings.worth_by_work else worth / max(run, 1e-6)
+
     def _advice(self, caller: Caller, least: float) -> float:
         """Retry-after: the larger of the minimum average headway and the caller's own mean interval."""
         wish = max(self.callers.mah(), caller.gap, least)
@@ -480,7 +526,7 @@
         """Apparent tardiness cost: worth for each unit of work, rising as the last start comes near."""
         cls = self.settings.classes[request.cls]
         run = max(self._expected(request), 1e-6)
-        worth = cls.worth if self.settings.worth_by_work else cls.worth / run
+        worth = self._for_work(request.worth, run)
         if now + FIT * run > request.aim_at:
             return worth * cls.late_worth
         return worth * math.exp(-max(0.0, request.aim_at - now - run) / (ATC_SPAN * max(self.mean_run)))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
@@ -126,6 +127,46 @@
     assert refused == pytest.approx(50, abs=3)
 
 
+def _refused_by(world: World, arrivals: list[tuple[int, int]]) -> Counter[tuple[int, int]]:
+    """Play a class and a tenant every tenth of a second, twenty times over; refusals by class and tenant."""
+    refused: Counter[tuple[int, int]] = Counter()
+    world.controller.callers.rate = 1000.0  # no caller is over its ceiling
+    for turn in range(20):
+        for place, (cls, tenant) in enumerate(arrivals):
+            world.now += 0.1
+            job = world.arrive(cls, place % 2, tenant=tenant)
+            if turn >= 5:  # the means are known by then
+                refused[cls, tenant] += job.answers
+            for running in [j for j in world.jobs.values() if j.state == "running"]:
+                world.finish(running)
+    return refused
+
+
+def test_below_full_admission_a_tenant_over_its_share_is_turned_away_before_the_others() -> None:
+    tenants = (i.TenantSettings(2.0, 0.5), i.TenantSettings(2.0, 0.5))
+    world = overloaded(0.6, tenants=tenants, over_share_worth=0.05)
+    refused = _refused_by(world, [(0, 0)] * 9 + [(0, 1)])
+    assert refused[0, 0] > 50
+    assert refused[0, 1] == 0
+
+
+def test_below_full_admission_what_is_worth_little_for_its_work_is_turned_away_first() -> None:
+    world = overloaded(0.6, classes=(LOOK, replace(LOOK, worth=10.0)))
+    refused = _refused_by(world, [(0, 0)] * 8 + [(1, 0)] * 2)
+    assert refused[0, 0] > 50
+    assert refused[1, 0] == 0
+
+
+def test_worth_protects_no_caller_that_is_over_its_ceiling() -> None:
+    world = overloaded(0.9, classes=(LOOK, replace(LOOK, worth=10.0)))
+    world.arrive(0, 2)
+    world.controller.share = 1.0
+    for _ in range(12):
+        world.arrive(0, 1)
+    world.controller.share = 0.9
+    assert world.arrive(1, 1).answers == 1
+
+
 def test_every_overload_refusal_advises_the_larger_of_headway_and_own_gap() -> None:
     world = overloaded(0.05, classes=(PATIENT,))
     refusals: list[i.Refuse] = []
