Further tries are aged by the time that their client has left; those too old go at once

Checked with a tap of the wire: tries bring few time limits again and again (2.26 s of a deadline of 5.6 s; 2.43 and 1.94 of 4.5), which callers set, and all other values are what is left of a client's whole time: 2.07 s is a client that timed out after 2.43 s. The module counted the aim of each try anew from its arrival, so such tries were admitted, held, run and paid nothing. Now TryLimits counts what tries bring; what is not among the known limits (a 64th of recent tries) ages the client by the deadline less that, on busy cores. Where further tries are marked only those are aged. What can no longer earn is refused at once with advice, and with the wish not to try elsewhere, as no server has more time for it. Taken for granted before: that a try's arrival is when its client began to wait. Might hurt rare callers whose time limits are their own, on busy cores, until three of their tries are seen.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -28,7 +28,10 @@
 RANK_STEP = 3.0  # refusals owed, beside one, that protect an empty counter, and each doubling of worth
 DOUBLINGS_MOST = 2.0  # of a request's worth for its work over the mean of arrivals, that count
 WORTH_GAIN = 1 / 64  # weight of a new arrival in that mean: some tens, so that rare worthy ones count
-TENANT_SPAN = 5.0  # seconds over which a tenant's arrivals are averaged
+LIMIT_GRAIN = 0.004  # seconds by which the same time limit of a caller may differ on its way here
+LIMIT_PART = 1 / 64  # of recent tries that bring the same time left: less is no limit that callers set
+LIMITS_SEEN = 256  # tries over which that is counted
+OWN_LIMITS = 3  # tries in a row without a known limit, after which a caller is taken to have its own
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
@@ -55,7 +58,7 @@
 LAG_SICK, LAG_WELL = 0.4, 0.15  # of the shortest aim, spent unread: out of service above, back below
 SLOW_PART = 0.5  # of the best pace seen here (reads and runs a second); floods keep it up, slow cores cannot
 BEST_SPAN = 60.0  # seconds over which the best pace is forgotten, far longer than a spell of slowness
-RATE_SPAN = 3.0  # seconds over which completions are averaged
+RATE_SPAN = 3.0  # seconds over which completions, and arrivals of a tenant, are averaged
 
 TICK_TOKEN = 1 << 40  # timer tokens: below it a request's due time, from it on its call's retry
 RETRY_TOKEN = 1 << 41
@@ -76,10 +79,10 @@
 class Caller:
     """One entry of the caller list."""
 
-    __slots__ = ("counter", "gap", "last")
+    __slots__ = ("counter", "gap", "last", "strange")
 
     def __init__(self, now: float) -> None:
-        self.counter, self.gap, self.last = 0.0, 0.0, now
+        self.counter, self.gap, self.last, self.strange = 0.0, 0.0, now, 0  # tries without a known limit
 
 
 class Request:
@@ -87,7 +90,7 @@
 
     __slots__ = (
         "again", "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id",
-        "ran", "read_at", "start_by", "state", "stopping", "waiters", "worth",
+        "late",         "ran", "read_at", "start_by", "state", "stopping", "waiters", "worth",
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
@@ -101,7 +104,7 @@
         self.answered = self.stopping = False
         self.ran = False  # it, or the request that it repeats, has run or may have run
         self.waiters, self.began, self.again = 0, math.inf, False  # again: its call was placed twice
-        self.worth = 0.0  # what it is worth on average, its tenant's share considered
+        self.worth, self.late = 0.0, False  # mean worth with its tenant's part; too old when it came
 
 
 class CallerList:
@@ -152,11 +155,30 @@
         return 1 + RANK_STEP * max(0.0, 1 - caller.counter / self.usual if self.usual > 0 else 1.0)
 
 
-class CallLoad:
-    """Calls in the hands of what lies below, as their exact mean over its span; given-up ones linger there.
+class TryLimits:
+    """The time limits that callers set for a try: they come again and again, what is left of one does not."""
+
+    def __init__(self) -> None:
+        self.counts: dict[int, float] = {}  # of tries, by the time that they bring
+        self.noted = 0
+
+    def note(self, left: float) -> None:
+        """A try brings so much time."""
+        place = round(left / LIMIT_GRAIN)
+        self.counts[place] = self.counts.get(place, 0.0) + 1
+        self.noted += 1
+        if self.noted >= LIMITS_SEEN:
+            self.counts = {where: count / 2 for where, count in self.counts.items() if count >= 1}
+            self.noted //= 2
 
-    A decaying mean is no stand-in: calls that begin together fill a span before it has followed.
-    """
+    def known(self, left: float) -> bool:
+        """Whether many tries bring that; also while too few were seen to tell."""
+        alike = sum(self.counts.get(round(left / LIMIT_GRAIN) + near, 0.0) for near in (-1, 0, 1))
+        return self.noted < LIMITS_SEEN / 8 or alike > LIMIT_PART * self.noted
+
+
+class CallLoad:
+    """Calls in the hands of what lies below, exactly summed over its span; given-up ones linger there."""
 
     def __init__(self, span: float, linger: float) -> None:
         self.span, self.linger = span or 1.0, linger
@@ -210,7 +232,7 @@
         if not 0 <= tenant < len(self.quotas):
             return 1.0
         elapsed, self.last[tenant] = now - self.last[tenant], now
-        self.rates[tenant] = self.rates[tenant] * math.exp(-elapsed / TENANT_SPAN) + 1 / TENANT_SPAN
+        self.rates[tenant] = self.rates[tenant] * math.exp(-elapsed / RATE_SPAN) + 1 / RATE_SPAN
         within = min(1.0, self.quotas[tenant] / self.rates[tenant])
         return within + self.over * (1 - within)
 
@@ -224,7 +246,7 @@
         self.settings = s = settings
         self.margin = MARGIN_TICKS * s.tick  # answers go out this long before they are due
         self.out: list[i.Action] = []
-        self.callers, self.tenants = CallerList(), Tenants(settings)
+        self.callers, self.tenants, self.limits = CallerList(), Tenants(settings), TryLimits()
         self.mix = [0.0] * len(s.classes)  # part of arrivals by class, each by its tenant's part of worth
         self.requests: dict[int, Request] = {}
         self.hold: dict[int, Request] = {}
@@ -303,7 +325,7 @@
             self._repeat(now, request, event.same_as)
         elif self._must_refuse(now, request):
             self._refuse(request, stay=False)
-        elif self._shed(request):
+        elif request.late or self._shed(request):
             self._refuse(request, stay=True)
         else:
             self.callers.charge(caller)
@@ -319,7 +341,9 @@
         due = now + budget if budget > 0 else max(now, reached + cls.deadline)
         aim = min(cls.deadline, cls.aim + cls.aim_stretch * _sane(event.hint))
         due = max(now, min(due, self.stop_at) - self.margin)
-        request = Request(event, caller, now, due, min(due, reached + aim))
+        waited = self._waited_before(event, caller, cls.deadline)
+        request = Request(event, caller, now, due, min(due, reached + aim - waited))
+        request.late = waited > 0 and now + self._expected(request) > self._worthless_at(request)
         part = self.tenants.arrive(now, event.tenant)
         request.worth = cls.worth * part
         gain = WORTH_GAIN if any(self.mix) else 1.0
@@ -328,6 +352,26 @@
         self._move(request, State.HELD)
         return request
 
+    def _waited_before(self, event: i.Arrival, caller: Caller, deadline: float) -> float:
+        """Seconds for which a further try's client has waited already, by what it has left; 0: not known.
+
+        Guards against tries too old to be worth their work, which come in crowds once others have timed out.
+        It can do harm to callers whose time limits are their own, on busy cores, until that is seen.
+        """
+        left, marked = _sane(event.budget) + _sane(event.age), self.settings.marks_retry
+        if not _sane(event.budget):
+            return 0.0
+        known, first = self.limits.known(left), marked and not event.retry
+        caller.strange = 0 if known or marked else caller.strange + 1
+        if first or not marked:
+            self.limits.note(left)
+        unaged = first or known or caller.strange > OWN_LIMITS or self.idle >= SPARE
+        return 0.0 if unaged else max(0.0, deadline - left)
+
+    def _worthless_at(self, request: Request) -> float:
+        """When an answer earns nothing any more: late worth keeps its part of the time to the due time."""
+        return request.aim_at + self.settings.classes[request.cls].late_worth * (request.due - request.aim_at)
+
     def _decide_by(self, request: Request) -> float:
         """When it has to be decided: in time for its answer, and where its run must soon begin, for that."""
         return min(request.due, request.start_by - self.margin)
@@ -539,11 +583,9 @@
         judge = [newest] if now == self.judged_at else list(self.hold.values())
         self.judged_at = now
         for request in judge:
-            cls = self.settings.classes[request.cls]
-            limit = request.aim_at + cls.late_worth * (request.due - request.aim_at)
             fit = busy * (FIT if now > request.read_at else FIT_FRESH)
-            last = self._decide_by(request) if not request.ran else math.inf
-            if not request.ran and (now + fit * self._expected(request) > limit or now >= last):
+            late = now + fit * self._expected(request) > self._worthless_at(request)
+            if not request.ran and (late or now >= self._decide_by(request)):
                 self._give_up(now, request)
         if not self._room():
             return
@@ -677,10 +719,8 @@
             self.out.append(i.SetTimer(CALL_BACKOFF, RETRY_TOKEN + request.id, request.id))
 
     def _call_room(self) -> bool:
-        """A shared dependency falls by the mean of calls in its hands; a tier below guards itself.
-
-        What the calls in hand will still add counts as well; a call that finds none may always go.
-        """
+        """A shared dependency falls by the mean of calls in its hands, what those will still add included; a
+        call that finds none may always go. A tier below guards itself."""
         load, bound = self.call_load, self.settings.calls_out
         if self.settings.below is not i.Below.SHARED:
             return True
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -811,3 +811,67 @@
     ended = c.on_event(1.0, i.RunEnded(1, i.Outcome.OK, 1.0))  # the core is free, the timer is late
     assert not of(ended, i.Run)
     assert [a.id for a in ended if isinstance(a, i.Refuse)] == [2]
+
+
+# The age of a client, by what a try brings
+
+
+def _busy(marks_retry: bool = False) -> World:
+    """A server without idle cores, at full admission."""
+    world = World(settings(classes=(LOOK,), passes_deadline=True, marks_retry=marks_retry))
+    world.controller.idle = 0.0
+    return world
+
+
+def _first_tries(world: World, count: int, budget: float) -> None:
+    """Tries that bring a time limit of their caller's, each served at once."""
+    for turn in range(count):
+        world.advance(0.01)
+        job = world.arrive(0, turn % 2, budget=budget)
+        world.finish(job)
+
+
+def test_a_try_whose_client_has_little_time_left_is_too_old_for_its_aim_and_answered_at_once() -> None:
+    world = _busy()
+    _first_tries(world, 60, 1.5)
+    old = world.arrive(0, 1, budget=0.9)  # of 3 s: its client asked first 2.1 s ago, for an aim of 1 s
+    assert (old.answers, old.runs) == (1, 0)
+    (refusal,) = (a for a in world.log if isinstance(a, i.Refuse))
+    assert refusal.stay, "no other server has more time for it"
+    young = world.arrive(0, 1, budget=2.9)
+    assert young.runs == 1
+
+
+def test_a_time_limit_that_many_tries_bring_tells_nothing_of_their_clients() -> None:
+    world = _busy()
+    _first_tries(world, 60, 0.9)
+    assert world.arrive(0, 1, budget=0.9).runs == 1
+
+
+def test_a_caller_whose_tries_all_bring_limits_of_its_own_is_served() -> None:
+    world = _busy()
+    _first_tries(world, 60, 1.5)
+    own = [world.arrive(0, 7, budget=0.6 + turn / 50) for turn in range(8)]
+    assert [job.answers for job in own] == [1] * control.OWN_LIMITS + [0] * (8 - control.OWN_LIMITS)
+
+
+def test_on_idle_cores_an_old_try_is_served_all_the_same() -> None:
+    world = _busy()
+    _first_tries(world, 60, 1.5)
+    world.controller.idle = 0.9
+    assert world.arrive(0, 1, budget=0.9).runs == 1
+
+
+def test_where_further_tries_are_marked_only_those_are_aged() -> None:
+    world = _busy(marks_retry=True)
+    _first_tries(world, 60, 1.5)
+    assert world.arrive(0, 1, budget=0.6).runs == 1
+    marked = i.Arrival(999, 0, 1, 10.0, budget=0.9, retry=True)
+    assert [a.id for a in world.controller.on_event(world.now, marked) if isinstance(a, i.Refuse)] == [999]
+
+
+def test_the_table_of_time_limits_stays_small() -> None:
+    limits = control.TryLimits()
+    for turn in range(20_000):
+        limits.note((turn * 0.37) % 60.0)
+    assert len(limits.counts) <= control.LIMITS_SEEN
