Connections are not closed early while most of what is read is refused

Now early closes end once three quarters of what is read are refused, in the mean of some tens, and begin again below two fifths.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -27,7 +27,7 @@
 SHARE_MIN = 0.05  # some work must come in for the loop to see that waits have fallen
 RANK_STEP = 3.0  # refusals owed, beside one, that protect an empty counter, and each doubling of worth
 DOUBLINGS_MOST = 2.0  # of a request's worth for its work over the mean of arrivals, that count
-WORTH_GAIN = 1 / 64  # weight of a new arrival in that mean: some tens, so that rare worthy ones count
+LONG_GAIN = 1 / 64  # weight of a new arrival in means over some tens, so that rare worthy ones count
 LIMIT_GRAIN = 0.004  # seconds by which the same time limit of a caller may differ on its way here
 LIMIT_PART = 1 / 64  # of recent tries that bring the same time left: less is no limit that callers set
 LIMITS_SEEN = 256  # tries over which that is counted
@@ -43,6 +43,7 @@
 
 # Guards
 RARE_USE = 3.0  # idle times between a fair caller's requests: two of three connections close unused then
+REFUSED_FEW, REFUSED_MOST = 0.4, 0.75  # of what is read: early closes begin below, and end above
 CONNECTION_KEPT = 0.05  # seconds; long enough for an answer's caller to send the next request at once
 MEMORY_PART = 0.9  # of the memory, used by choice; the rest absorbs what arrives within one batch
 CROWD_PART = 0.7  # of the crowd that kills, reached by choice
@@ -60,8 +61,7 @@
 BEST_SPAN = 60.0  # seconds over which the best pace is forgotten, far longer than a spell of slowness
 RATE_SPAN = 3.0  # seconds over which completions, and arrivals of a tenant, are averaged
 
-TICK_TOKEN = 1 << 40  # timer tokens: below it a request's due time, from it on its call's retry
-RETRY_TOKEN = 1 << 41
+TICK_TOKEN, RETRY_TOKEN = 1 << 40, 1 << 41  # below: a due time; from the second on: a retry of a call
 UNPLACED = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED)  # of a run: it never began
 
 
@@ -263,7 +263,7 @@
         self.progress_at = self.started_at = self.full_since = 0.0
         self.stalled = self.sick = False
         self.lag, self.tight = 0.0, min(c.aim for c in s.classes)  # mean time unread; shortest aim
-        self.closing, self.idle = False, 0.0  # idle connections are closed at once; idle part of the cores
+        self.closing, self.idle, self.refused = False, 0.0, 0.0  # early closes; idle part; part refused
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.published, self.judged_at = -1.0, -math.inf
         self.call_load = CallLoad(s.calls_over, s.linger)
@@ -285,8 +285,7 @@
                 self.started_at = self.progress_at = self.full_since = now
                 self.out += [i.SetTimer(PERIOD, TICK_TOKEN), i.Health(True)]
             case _:
-                request = self.requests.get(event.id)
-                if request:  # else it has ended here
+                if request := self.requests.get(event.id):  # else it has ended here
                     self._progress(now, request, event)
         self._dispatch(now)
         return self.out
@@ -319,6 +318,7 @@
         request = self._new_request(now, event, caller)
         self.lag += GAP_GAIN * (_sane(event.age) - self.lag)
         self.moved += 1
+        self.refused -= LONG_GAIN * self.refused
         keyed = self.settings.classes[event.cls].repeat is i.Repeat.KEYED
         if keyed and event.same_as and event.same_as not in self.dropped:
             self._repeat(now, request, event.same_as)
@@ -345,7 +345,7 @@
         request.late = waited > 0 and now + self._expected(request) > self._worthless_at(request)
         part = self.tenants.arrive(now, event.tenant)
         request.worth = cls.worth * part
-        gain = WORTH_GAIN if any(self.mix) else 1.0
+        gain = LONG_GAIN if any(self.mix) else 1.0
         self.mix = [m + gain * (part * (c == event.cls) - m) for c, m in enumerate(self.mix)]
         self.requests[request.id] = request
         self._move(request, State.HELD)
@@ -413,6 +413,7 @@
         return min(wish, self.settings.max_retry_after) if self.settings.retry_after else 0.0
 
     def _refuse(self, request: Request, stay: bool, least: float = 0.0) -> None:
+        self.refused += LONG_GAIN
         self.out.append(i.Refuse(request.id, self._advice(request.caller, least), stay))
         self._end(request)
 
@@ -503,10 +504,11 @@
         """Close connections at once where a fair caller comes back long after callers would close them.
 
         Guards against tables full of callers that rarely send: others find no room while cores idle, and
-        a full table takes cores. It can do harm to the few that send often, by a handshake for each.
+        a full table takes cores. It can do harm to the few that send often, by a handshake for each; where
+        most is refused it stops: a caller without a connection then costs less than a refusal.
         """
-        s = self.settings
-        rare = s.callers > RARE_USE * s.idle * self.callers.rate > 0
+        s, most = self.settings, REFUSED_MOST if self.closing else REFUSED_FEW
+        rare = s.callers > RARE_USE * s.idle * self.callers.rate > 0 and self.refused < most
         if rare != self.closing:
             self.closing = rare
             self.out.append(i.CloseIdle(CONNECTION_KEPT if rare else 0.0))
@@ -633,14 +635,12 @@
 
     def _give_up(self, now: float, request: Request) -> None:
         """Answer at once what will not be served here, telling when to come back."""
-        if request.answered:
-            return
-        if not request.ran:
+        if not request.ran and not request.answered:
             self._wait_sample(WAIT_MOST)  # however short: the time that it lacked counts as waited
             self._refuse(request, stay=True)
-            return
-        self.out.append(i.Fail(request.id))
-        self._leave(request)
+        elif not request.answered:
+            self.out.append(i.Fail(request.id))
+            self._leave(request)
 
     def _leave(self, request: Request) -> None:
         """Nobody waits any more: forget it, or stop its run where that can be done and no repeat needs it."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -235,6 +235,22 @@
     assert 0 < _closings(1000)[-1] < 0.1
 
 
+def test_connections_are_not_closed_early_while_most_of_what_is_read_is_refused() -> None:
+    world = World(settings(callers=1000, idle=30.0, retry_after=False))
+    controller = world.controller
+    for n in range(40):
+        world.finish(world.arrive(0, n))
+        world.advance(0.25)
+    assert controller.closing
+    while controller.refused < 0.8:
+        assert controller.closing
+        controller.share = 0.05
+        world.arrive(0, 3)
+    world.advance(0.2)
+    assert not controller.closing
+    assert of(world.log, i.CloseIdle)[-1] == i.CloseIdle(0.0)
+
+
 def test_work_for_an_arrival_does_not_grow_with_the_callers_listed() -> None:
     class Counting(dict[tuple[int, ...], control.Caller]):
         walks = 0
