--- a/shelfhaven/config.py
+++ b/shelfhaven/config.py
@@ -27,7 +27,7 @@
     TenantSettings,
 )
 
-E = TypeVar("E", bound=Enum)
+E = TypeVar("E", bound=Enum | bool)
 
 REPEATS = {"repeatable": Repeat.SAFE, "by_key": Repeat.KEYED, "once": Repeat.UNSAFE}
 STOPS = {"silent": Stop.NONE, "abort": Stop.ABORT, "suspend": Stop.PAUSE}
@@ -38,6 +38,8 @@
     "share_of": Advert.WEIGHT,
 }
 BELOWS = {"silent": Below.NONE, "shared": Below.SHARED, "tier": Below.TIER}
+FLAGS = {"true": True, "1": True, "false": False, "0": False}
+WORTH_BY_WORK = {"work": True, "request": False}
 MAX_ITEMS = 10_000  # of one list; more is no list of classes or tenants
 NAME = re.compile(r"[!-~]{1,128}\Z")  # printable and without spaces: it travels in words on the wire
 
@@ -46,10 +48,6 @@
     """A configuration that cannot be used; the text names the key at fault."""
 
 
-def _is_true(text: str) -> bool:
-    return text.lower() in ("true", "1")
-
-
 class Options:
     """Settings by path, with a default for what is absent."""
 
@@ -76,14 +74,31 @@
             raise self.fault(path, f"{text!r} is not a finite number of 0 or more")
         return value
 
+    def part(self, path: str, default: float = 0.0) -> float:
+        """A number from 0 to 1."""
+        return self._checked_part(path, self.number(path, default))
+
+    def _checked_part(self, path: str, value: float) -> float:
+        if value > 1:
+            raise self.fault(path, f"{value:g} is more than 1")
+        return value
+
     def flag(self, path: str, default: bool = False) -> bool:
-        return _is_true(self.pairs.get(path, str(default)))
+        """True or false."""
+        return self._known(path, self.pairs.get(path, "").lower(), FLAGS, default)
+
+    def _known(self, path: str, text: str, known: Mapping[str, E], default: E) -> E:
+        """What a word stands for; one that is not known is a fault, none at all the default."""
+        if text and text not in known:
+            raise self.fault(path, f"{text!r} is none of {', '.join(known)}")
+        return known[text] if text else default
 
     def items(self, path: str) -> list[str]:
         return [item for item in self.pairs.get(path, "").split(",") if item]
 
-    def word(self, path: str, known: dict[str, E], default: str) -> E:
-        return known.get(self.pairs.get(path, default), known[default])
+    def word(self, path: str, known: Mapping[str, E], default: str) -> E:
+        """One of some words."""
+        return self._known(path, self.pairs.get(path, ""), known, known[default])
 
     def count(self, path: str) -> int:
         count = self.number(f"{path}.count")
@@ -91,25 +106,29 @@
             raise self.fault(f"{path}.count", "too many")
         return int(count)
 
-    def item_number(self, path: str, place: int) -> float:
-        """One number of a list of plain values; 0 where the list is shorter."""
+    def item_part(self, path: str, place: int) -> float:
+        """One number from 0 to 1 of a list of plain values; 0 where the list is shorter."""
+        items = self.items(path)
+        return self._checked_part(path, self._checked(path, items[place])) if place < len(items) else 0.0
+
+    def item_flag(self, path: str, place: int) -> bool:
+        """One flag of a list of plain values; false where the list is shorter."""
         items = self.items(path)
-        return self._checked(path, items[place]) if place < len(items) else 0.0
+        return self._known(path, items[place].lower() if place < len(items) else "", FLAGS, False)
 
 
 def _class(o: Options, number: int) -> ClassSettings:
     path = f"classes.{number}"
-    calls = o.items("domain.class-calls")
     deadline = o.number(f"{path}.deadline")
     return ClassSettings(
         aim=o.number(f"{path}.on-time", deadline),
         deadline=deadline,
         worth=o.number(f"{path}.points", 1.0),
-        late_worth=o.number(f"{path}.late-worth"),
+        late_worth=o.part(f"{path}.late-worth"),
         repeat=o.word(f"{path}.repeat", REPEATS, "once"),
         window=o.number(f"{path}.key-ttl"),
-        calls=number < len(calls) and _is_true(calls[number]),
-        skip_worth=o.item_number("domain.class-skip-worth", number),
+        calls=o.item_flag("domain.class-calls", number),
+        skip_worth=o.item_part("domain.class-skip-worth", number),
         aim_stretch=o.number(f"{path}.aim-stretch"),
     )
 
@@ -131,7 +150,7 @@
         run_factor=o.number("domain.run-factor", 1.0),
         key_kb=o.number("domain.key-kb"),
         cold=o.flag("domain.cold"),
-        cold_from=o.number("invariants.cold-from", 1.0),
+        cold_from=o.part("invariants.cold-from", 1.0),
         warm_up=o.number("invariants.warm-up"),
         fall_multiple=o.number("invariants.tip-multiple", 3.0),
         fall_over=o.number("invariants.overload-for", 2.0),
@@ -140,8 +159,8 @@
         passes_deadline=o.flag("domain.passes-deadline"),
         tells_gone=o.flag("domain.tells-gone"),
         marks_retry=o.flag("callers.marks-retry"),
-        worth_by_work=o.pairs.get("value-by") == "work",
-        over_share_worth=o.number("over-share-worth", 1.0),
+        worth_by_work=o.word("value-by", WORTH_BY_WORK, "request"),
+        over_share_worth=o.part("over-share-worth", 1.0),
         retry_after=o.flag("ceilings.retry-after", True),
         max_retry_after=o.number("ceilings.max-retry-after", 1.0),
         stop=o.word("domain.stop-mode", STOPS, "silent"),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 
 from shelfhaven import __version__, config
 from shelfhaven.__main__ import main
-from shelfhaven.decision.interface import Repeat, Stop
+from shelfhaven.decision.interface import Advert, Below, Repeat, Stop
 
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -119,6 +119,17 @@
     ("settings/classes/0/name", None, "settings.classes.0.name"),
     ("settings/domain/class-skip-worth", ["x", 0], "settings.domain.class-skip-worth"),
     ("settings/tick", "nan", "settings.tick"),
+    ("settings/domain/advert", "loud", "settings.domain.advert"),
+    ("settings/domain/stop-mode", "never", "settings.domain.stop-mode"),
+    ("settings/domain/downstream", "above", "settings.domain.downstream"),
+    ("settings/domain/readiness", "perhaps", "settings.domain.readiness"),
+    ("settings/domain/class-calls", ["yes", False], "settings.domain.class-calls"),
+    ("settings/domain/class-skip-worth", [1.5, 0], "settings.domain.class-skip-worth"),
+    ("settings/classes/0/repeat", "twice", "settings.classes.0.repeat"),
+    ("settings/classes/0/late-worth", 3, "settings.classes.0.late-worth"),
+    ("settings/invariants/cold-from", 1.2, "settings.invariants.cold-from"),
+    ("settings/value-by", "size", "settings.value-by"),
+    ("settings/over-share-worth", 2, "settings.over-share-worth"),
 ]
 
 
@@ -129,6 +140,19 @@
     assert str(caught.value).startswith(f"{key}: ")
 
 
+def test_absent_settings_take_their_defaults_and_unknown_keys_are_ignored() -> None:
+    told = config.parse_lines("domain.cores=2\ndomain.memory-kb=100\nclasses.count=1\nlater.addition=5\n")
+    assert (told.stop, told.advert, told.below) == (Stop.NONE, Advert.NONE, Below.NONE)
+    assert (told.tells_gone, told.marks_retry, told.passes_deadline, told.cold) == (False,) * 4
+    assert (told.retry_after, told.over_share_worth, told.classes[0].repeat) == (True, 1.0, Repeat.UNSAFE)
+
+
+@pytest.mark.parametrize("line", ["domain.stop-mode=drop", "callers.marks-retry=2", "classes.0.repeat=safe"])
+def test_a_word_that_the_wire_does_not_have_is_refused_by_its_key(line: str) -> None:
+    with pytest.raises(config.ConfigError, match=line.partition("=")[0]):
+        config.parse_lines(f"domain.cores=2\ndomain.memory-kb=100\nclasses.count=1\n{line}\n")
+
+
 @pytest.mark.parametrize("text", [b"", b"{", b"[]", b"\xff"])
 def test_what_is_no_object_is_said_so(text: bytes) -> None:
     with pytest.raises(config.ConfigError, match="JSON"):
