--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -267,8 +267,7 @@
         self.warmth = settings.cold_from if settings.cold else 1.0  # share of full speed, at the slowest
         self.published, self.judged_at = -1.0, -math.inf
         self.call_load = CallLoad(s.calls_over, s.linger)
-        self.now = self.call_mean = self.call_dev = 0.0
-        self.failing = self.called_at = 0.0  # recent part of calls refused below; when the last one ended
+        self.now = self.call_mean = self.call_dev = self.called_at = self.failing = 0.0  # part refused below
         self.drain_at = self.stop_at = self.shut_at = math.inf
 
     def on_event(self, now: float, event: i.Event) -> list[i.Action]:
@@ -615,6 +614,7 @@
         request.ran, request.began = True, min(now, request.began)
         self.out.append(i.Run(request.id))
         cls, stops = self.settings.classes[request.cls], self.settings.stop is not i.Stop.NONE
+        stops = stops and self.idle < SPARE  # what is stopped is asked for again: on idle cores it may end
         if stops and cls.repeat is i.Repeat.SAFE and not cls.late_worth:  # past its aim it earns nothing
             request.due = max(now, min(request.due, request.aim_at))
             self.out.append(i.SetTimer(request.due - now, request.id, request.id))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -442,6 +442,7 @@
 @pytest.mark.parametrize("stop", [i.Stop.ABORT, i.Stop.PAUSE])
 def test_a_run_past_its_aim_is_stopped_where_a_late_answer_earns_nothing(stop: i.Stop) -> None:
     world = World(settings(stop=stop))
+    world.controller.idle = 0.0
     worthless, keyed = world.arrive(0, 1), world.arrive(1, 2, key=1)
     world.advance(1.1)
     assert worthless.answers == 1
@@ -450,12 +451,14 @@
 
 
 @pytest.mark.parametrize(
-    ("stop", "cls"), [(i.Stop.NONE, LOOK), (i.Stop.ABORT, replace(LOOK, late_worth=0.2))]
+    ("stop", "cls", "idle"),
+    [(i.Stop.NONE, LOOK, 0.0), (i.Stop.ABORT, replace(LOOK, late_worth=0.2), 0.0), (i.Stop.ABORT, LOOK, 0.9)],
 )
-def test_a_run_past_its_aim_goes_on_where_it_cannot_be_stopped_or_still_earns(
-    stop: i.Stop, cls: i.ClassSettings
+def test_a_run_past_its_aim_goes_on_where_it_cannot_be_stopped_still_earns_or_cores_idle(
+    stop: i.Stop, cls: i.ClassSettings, idle: float
 ) -> None:
     world = World(settings(stop=stop, classes=(cls,)))
+    world.controller.idle = idle
     job = world.arrive(0, 1)
     world.advance(1.1)
     assert (job.runs, job.answers) == (1, 0)
