--- a/shelfhaven/backends/uwsgi.py
+++ b/shelfhaven/backends/uwsgi.py
@@ -28,7 +28,7 @@
 from shelfhaven.routing.near import Near, NearSettings, Orders
 from shelfhaven.routing.ramp import Ramp
 from shelfhaven.routing.runs import Action, End, Over, Run, Runs, Send
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading
@@ -36,7 +36,7 @@
 READ = 64 * 1024  # bytes at a time
 UNAVAILABLE = (502, 503, 504)
 
-Teller = Callable[[m.Told], None]
+Teller = Callable[[messages.Told], None]
 
 
 def end_of(reply: http.Reply) -> End:
@@ -72,13 +72,13 @@
         ramp = Ramp(config.ramp, now) if config.ramp else None
         self.runs = Runs(config.settings, config.servers, now, seed, ramp)
         self.runs.pool.zones = config.zones
-        self.launches: dict[str, m.Launch] = {}
+        self.launches: dict[str, messages.Launch] = {}
         self.bodies: dict[str, bytes] = {}  # results, until their run is told as over
         self.attempts: dict[int, Attempt] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.alarm: asyncio.TimerHandle | None = None
 
-    def launch(self, launch: m.Launch) -> None:
+    def launch(self, launch: messages.Launch) -> None:
         """Run a request at one of the servers."""
         if launch.call in self.launches:
             return
@@ -145,7 +145,7 @@
 
     def _over(self, over: Over) -> None:
         del self.launches[over.call]
-        self.tell(m.RunDone(over.call, over.outcome, over.spent, self.bodies.pop(over.call, b"")))
+        self.tell(messages.RunDone(over.call, over.outcome, over.spent, self.bodies.pop(over.call, b"")))
 
     # Attempts
 
@@ -255,10 +255,10 @@
 class Guard(Protocol):
     """Who has keyed runs begun once over a whole fleet."""
 
-    def launch(self, launch: m.Launch, run: Callable[[m.Launch], None]) -> None:
+    def launch(self, launch: messages.Launch, run: Callable[[messages.Launch], None]) -> None:
         """Have it begun by `run`, or tell how it ended without that."""
 
-    def over(self, done: m.RunDone) -> None:
+    def over(self, done: messages.RunDone) -> None:
         """A run is over."""
 
 
@@ -279,7 +279,7 @@
         self.core = tell
         self.guard: Guard | None = None  # None: each node for itself
         self.beside = beside  # what other runners have in hand, and their room: one core has one cap
-        self.mailbox: Mailbox[m.Command | m.Sample] = Mailbox(self._take, log)
+        self.mailbox: Mailbox[messages.Command | messages.Sample] = Mailbox(self._take, log)
         self.pools: dict[str, PoolActor] = {}
         self.by_class: dict[str, PoolActor] = {}
         self.gone: list[PoolActor] = []  # taken out of the file, with runs in hand
@@ -289,17 +289,17 @@
     def up(self) -> bool:
         return True
 
-    def tell(self, told: m.Told) -> None:
+    def tell(self, told: messages.Told) -> None:
         """Tell the core."""
-        if self.guard and isinstance(told, m.RunDone):
+        if self.guard and isinstance(told, messages.RunDone):
             self.guard.over(told)
         self.core(told)
 
     def start(self) -> None:
         """Take up work."""
-        self.tell(m.RunnerUp(True, 0.0))
+        self.tell(messages.RunnerUp(True, 0.0))
 
-    def put(self, message: m.Command | m.Sample) -> None:
+    def put(self, message: messages.Command | messages.Sample) -> None:
         """Take a command."""
         self.mailbox.put(message)
 
@@ -318,19 +318,19 @@
                 self.pools[name] = PoolActor(config, self.descriptors, self.tell, self.log, seed)
         self.by_class = {cls: self.pools[name] for name, c in configs.items() for cls in c.runs}
 
-    def _take(self, message: m.Command | m.Sample) -> None:
+    def _take(self, message: messages.Command | messages.Sample) -> None:
         match message:
-            case m.Launch():
+            case messages.Launch():
                 pool = self.by_class.get(message.cls)
                 if pool and self.guard and message.claim:
                     self.guard.launch(message, pool.launch)
                 elif pool:
                     pool.launch(message)
                 else:
-                    self.tell(m.RunDone(message.call, Outcome.CONNECT_FAILED, 0.0))
-            case m.Sample():
-                self.tell(m.Sampled(message.tag, self._sampled()))
-            case m.Deliver() | m.Forgo():  # runs here ask for no calls
+                    self.tell(messages.RunDone(message.call, Outcome.CONNECT_FAILED, 0.0))
+            case messages.Sample():
+                self.tell(messages.Sampled(message.tag, self._sampled()))
+            case messages.Deliver() | messages.Forgo():  # runs here ask for no calls
                 self.log.event("no_word_for", action=type(message).__name__)
 
     def _sampled(self) -> tuple[float, ...]:
--- a/shelfhaven/drill/__main__.py
+++ b/shelfhaven/drill/__main__.py
@@ -7,34 +7,34 @@
 from typing import Any, BinaryIO
 
 from shelfhaven import config
-from shelfhaven.decision import interface as i
+from shelfhaven.decision import interface
 from shelfhaven.decision.control import Controller
 from shelfhaven.drill import wire
 
 OUTCOMES = {
-    200: i.Outcome.OK,
-    500: i.Outcome.ERROR,
-    503: i.Outcome.FULL,
-    504: i.Outcome.TIMEOUT,
-    502: i.Outcome.CONNECT_FAILED,
-    598: i.Outcome.RESET,
-    499: i.Outcome.CANCELLED,
-    410: i.Outcome.MOOT,
+    200: interface.Outcome.OK,
+    500: interface.Outcome.ERROR,
+    503: interface.Outcome.FULL,
+    504: interface.Outcome.TIMEOUT,
+    502: interface.Outcome.CONNECT_FAILED,
+    598: interface.Outcome.RESET,
+    499: interface.Outcome.CANCELLED,
+    410: interface.Outcome.MOOT,
 }
 HINT_VALID, RETRY = 1, 2
 GAUGES = 4
 
 
-def _outcome(code: int) -> i.Outcome:
+def _outcome(code: int) -> interface.Outcome:
     outcome = OUTCOMES.get(code)
     if outcome is None:
         raise wire.WireError(f"unknown outcome {code}")
     return outcome
 
 
-def _arrival(f: Any) -> i.Event:
+def _arrival(f: Any) -> interface.Event:
     bits = f["state-bits"]
-    return i.Arrival(
+    return interface.Arrival(
         id=f["txn"],
         cls=f["service"],
         caller=f["src"],
@@ -50,36 +50,36 @@
     )
 
 
-def _timer(f: Any) -> i.Event:
-    return i.Timer(f["ref"], tuple(f[f"g{n}"] for n in range(min(f["gauges"], GAUGES))))
+def _timer(f: Any) -> interface.Event:
+    return interface.Timer(f["ref"], tuple(f[f"g{n}"] for n in range(min(f["gauges"], GAUGES))))
 
 
-EVENTS: dict[str, Callable[[Any], i.Event]] = {
+EVENTS: dict[str, Callable[[Any], interface.Event]] = {
     "Arrival": _arrival,
-    "RunOver": lambda f: i.RunEnded(f["txn"], _outcome(f["how"]), f["spent"]),
-    "StalledOnCall": lambda f: i.NeedsCall(f["txn"]),
-    "Downstream": lambda f: i.CallEnded(f["txn"], _outcome(f["how"]), f["spent"]),
-    "TerminateSoon": lambda f: i.Drain(f["budget"]),
-    "Gone": lambda f: i.Gone(f["txn"]),
+    "RunOver": lambda f: interface.RunEnded(f["txn"], _outcome(f["how"]), f["spent"]),
+    "StalledOnCall": lambda f: interface.NeedsCall(f["txn"]),
+    "Downstream": lambda f: interface.CallEnded(f["txn"], _outcome(f["how"]), f["spent"]),
+    "TerminateSoon": lambda f: interface.Drain(f["budget"]),
+    "Gone": lambda f: interface.Gone(f["txn"]),
     "Elapsed": _timer,
 }
 ACTIONS: dict[type, Callable[[Any], tuple[str, wire.Fields]]] = {
-    i.Run: lambda a: ("Begin", {"txn": a.id}),
-    i.Halt: lambda a: ("Halt", {"txn": a.id}),
-    i.Refuse: lambda a: (
+    interface.Run: lambda a: ("Begin", {"txn": a.id}),
+    interface.Halt: lambda a: ("Halt", {"txn": a.id}),
+    interface.Refuse: lambda a: (
         "OverloadReply",
         {"txn": a.id, "pause": a.retry_after, "no-retry": a.stay},
     ),
-    i.Fail: lambda a: ("Lose", {"txn": a.id}),
-    i.Keep: lambda a: ("Pin", {"txn": a.id, "keep-for": a.ttl}),
-    i.Forget: lambda a: ("Evict", {"txn": a.id}),
-    i.Reuse: lambda a: ("AnswerFrom", {"txn": a.id}),
-    i.Call: lambda a: ("AskBelow", {"txn": a.id, "limit": a.limit}),
-    i.Skip: lambda a: ("Omit", {"txn": a.id}),
-    i.SetTimer: lambda a: ("SetAlarm", {"wait": a.delay, "ref": a.token}),
-    i.Health: lambda a: ("Status", {"on": a.good, "light": a.stored}),
-    i.Publish: lambda a: ("Publish", {"x": a.value}),
-    i.CloseIdle: lambda a: ("CloseIdle", {"keep-for": a.ttl}),
+    interface.Fail: lambda a: ("Lose", {"txn": a.id}),
+    interface.Keep: lambda a: ("Pin", {"txn": a.id, "keep-for": a.ttl}),
+    interface.Forget: lambda a: ("Evict", {"txn": a.id}),
+    interface.Reuse: lambda a: ("AnswerFrom", {"txn": a.id}),
+    interface.Call: lambda a: ("AskBelow", {"txn": a.id, "limit": a.limit}),
+    interface.Skip: lambda a: ("Omit", {"txn": a.id}),
+    interface.SetTimer: lambda a: ("SetAlarm", {"wait": a.delay, "ref": a.token}),
+    interface.Health: lambda a: ("Status", {"on": a.good, "light": a.stored}),
+    interface.Publish: lambda a: ("Publish", {"x": a.value}),
+    interface.CloseIdle: lambda a: ("CloseIdle", {"keep-for": a.ttl}),
 }
 
 
@@ -89,14 +89,14 @@
     def __init__(self) -> None:
         self.controllers: dict[int, Controller] = {}
 
-    def _decide(self, now: float, name: str, f: Any) -> list[i.Action]:
+    def _decide(self, now: float, name: str, f: Any) -> list[interface.Action]:
         if name == "Retire":
             self.controllers.pop(f["who"], None)
             return []
         if name == "Spawn":
             controller = Controller(config.parse_lines(f["options"]), f["rng-seed"])
             self.controllers[f["who"]] = controller
-            return controller.on_event(now, i.Started())
+            return controller.on_event(now, interface.Started())
         known = self.controllers.get(f["who"])
         return known.on_event(now, EVENTS[name](f)) if known else []
 
--- a/shelfhaven/fronts/consulting.py
+++ b/shelfhaven/fronts/consulting.py
@@ -20,7 +20,7 @@
 from shelfhaven.operatorfile import Listen
 from shelfhaven.routing import consult
 from shelfhaven.routing.mapping import Mapping as Rules
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 CALL_BYTES = 8  # of the name of a try
@@ -78,10 +78,10 @@
         self.verdict: asyncio.Future[bytes] | None = None
         self.lease: asyncio.TimerHandle | None = None
         self.load: float | None = None
-        self.asked: m.Submit | None = None
+        self.asked: messages.Submit | None = None
 
     @abstractmethod
-    def _continue(self, action: consult.Continue, launch: m.Launch | None) -> bytes:
+    def _continue(self, action: consult.Continue, launch: messages.Launch | None) -> bytes:
         """The words for a request that may go on."""
 
     @abstractmethod
@@ -93,11 +93,11 @@
         desk, c = self.desk, self.consultation
         mapped = desk.mapping.take(time.monotonic(), variables, self.peer, 0)
         c.keyed, c.shadow = bool(mapped.key), mapped.cls in desk.settings.shadow
-        self.asked = m.Submit(
+        self.asked = messages.Submit(
             front=self, ref=1, call=self.call, cls=mapped.cls, tenant=mapped.tenant, caller=mapped.caller,
             recv=self.recv, budget=mapped.left, hint=mapped.work, footprint_kb=mapped.footprint_kb,
             rank=mapped.rank, retry=mapped.retry, dedupe=mapped.key, key=mapped.row, body=b"",
-            asked=m.Asked(
+            asked=messages.Asked(
                 variables["REQUEST_METHOD"], variables["PATH_INFO"], variables.get("QUERY_STRING", ""),
                 variables.get("CONTENT_TYPE", ""), mapped.passed, mapped.parts,
             ),
@@ -115,31 +115,31 @@
         self.desk.tell(submit)
         return await self.verdict
 
-    def launched(self, launch: m.Launch) -> None:
+    def launched(self, launch: messages.Launch) -> None:
         """The core lets it run."""
         self._do(self.consultation.launched(time.monotonic()), launch)
 
-    def answer(self, answer: m.Answer) -> None:
+    def answer(self, answer: messages.Answer) -> None:
         """Take the core's answer: a verdict if there was none yet, else the end of what it owes."""
         now, c = time.monotonic(), self.consultation
         self.load = answer.load
         if self.asked:
             self.desk.answered[self.asked.cls, type(answer).__name__.lower()] += 1
         match answer:
-            case m.Served():
+            case messages.Served():
                 self._do(c.served(answer.body))
-            case m.Refused():
+            case messages.Refused():
                 self._do(c.refused(now, answer.retry_after, answer.stay))
-            case m.Failed():
+            case messages.Failed():
                 self._do(c.failed(now, answer.text, answer.late))
-            case m.Healthy():
+            case messages.Healthy():
                 pass
 
     def _lease_out(self) -> None:
         self.desk.log.event("lease_out", peer=self.peer)
         self._do(self.consultation.lease_out(time.monotonic()))
 
-    def _do(self, actions: list[consult.Action], launch: m.Launch | None = None) -> None:
+    def _do(self, actions: list[consult.Action], launch: messages.Launch | None = None) -> None:
         """What follows from the core's words, from time and from the stream's end."""
         for action in actions:
             match action:
@@ -155,7 +155,7 @@
                     self.desk.runner.ended(self.call, action.outcome, action.spent, action.result)
                 case consult.Withdraw():
                     self.desk.relief.given_up += 1
-                    self.desk.tell(m.Cancel(self, 1, action.may_run))
+                    self.desk.tell(messages.Cancel(self, 1, action.may_run))
                 case consult.Fault():
                     self.desk.log.event("proxy_fault", peer=self.peer, text=action.text)
 
--- a/shelfhaven/fronts/extproc.py
+++ b/shelfhaven/fronts/extproc.py
@@ -28,7 +28,7 @@
 from shelfhaven.protocol.pb import core_pb2, extproc_pb2, mode_pb2, status_pb2
 from shelfhaven.routing import consult
 from shelfhaven.routing.mapping import Fault, Mapping
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
@@ -160,7 +160,7 @@
     def _immediate(self, action: consult.Immediate) -> bytes:
         return immediate(action, self.load, self.desk.listen.content_type)
 
-    def _continue(self, action: consult.Continue, launch: m.Launch | None) -> bytes:
+    def _continue(self, action: consult.Continue, launch: messages.Launch | None) -> bytes:
         """The verdict, as the answer to the message that it was awaited with."""
         fields = [("x-budget-left-ms", str(max(0, int(launch.left * 1000))))] if launch else []
         if self.load is not None:
--- a/shelfhaven/fronts/subrequest.py
+++ b/shelfhaven/fronts/subrequest.py
@@ -28,7 +28,7 @@
 from shelfhaven.protocol.http import PHRASES
 from shelfhaven.routing import consult
 from shelfhaven.routing.mapping import Fault, Mapping
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 HEADERS_MOST = 32 * 1024  # bytes
@@ -64,7 +64,7 @@
         found["CONTENT_TYPE"] = headers.get("Content-Type", "")
         return found
 
-    def _continue(self, action: consult.Continue, launch: m.Launch | None) -> bytes:
+    def _continue(self, action: consult.Continue, launch: messages.Launch | None) -> bytes:
         if launch:
             self.fields["X-Budget-Left-Ms"] = str(max(0, int(launch.left * 1000)))
         return b""
--- a/shelfhaven/fronts/uwsgi.py
+++ b/shelfhaven/fronts/uwsgi.py
@@ -27,7 +27,7 @@
 from shelfhaven.protocol import http
 from shelfhaven.protocol import uwsgi as wire
 from shelfhaven.routing.mapping import Fault, Mapping
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 SERVED, REFUSED, FAILED, LATE, INVALID = 200, 503, 502, 504, 400
@@ -73,17 +73,17 @@
         path = request.variables.get("PATH_INFO", "")
         if path in (self.listen.health, self.listen.load):
             self.checks = True
-            self.tell(m.Check(self, self.ref))
+            self.tell(messages.Check(self, self.ref))
             return
         try:
             self.tell(self._submit(request))
         except Fault as fault:
-            self.tell(m.Reject(self, self.ref, fault.status, str(fault)))
+            self.tell(messages.Reject(self, self.ref, fault.status, str(fault)))
 
-    def _submit(self, request: wire.Request) -> m.Submit:
+    def _submit(self, request: wire.Request) -> messages.Submit:
         variables = request.variables
         asked = self.mapping.take(time.monotonic(), variables, self.peer, len(request.body))
-        return m.Submit(
+        return messages.Submit(
             front=self,
             ref=self.ref,
             call=os.urandom(CALL_BYTES).hex(),
@@ -99,7 +99,7 @@
             dedupe=asked.key,
             key=asked.row,
             body=request.body,
-            asked=m.Asked(
+            asked=messages.Asked(
                 variables.get("REQUEST_METHOD", ""),
                 variables["PATH_INFO"],
                 variables.get("QUERY_STRING", ""),
@@ -115,17 +115,17 @@
             return b""
         return http.answer(error.code or INVALID, [PLAIN, NOT_RUN], f"{error}\n".encode(), close=True)
 
-    def _encode(self, answer: m.Answer) -> bytes:
+    def _encode(self, answer: messages.Answer) -> bytes:
         close = not self.keep or self.leaving
         if close:
             self.state = ConnectionState.UNREADABLE  # it is closed once this is out
         fields = [] if answer.load is None else [("X-Load", f"{answer.load:g}")]
         match answer:
-            case m.Served():
+            case messages.Served():
                 return http.answer(
                     SERVED, [("Content-Type", self.listen.content_type), *fields], answer.body, close
                 )
-            case m.Refused():
+            case messages.Refused():
                 fields += [PLAIN, NOT_RUN]
                 if answer.retry_after > 0:
                     fields.append(("Retry-After", str(math.ceil(answer.retry_after))))
@@ -133,11 +133,11 @@
                 if answer.stay:
                     fields.append(("X-Stay", "1"))
                 return http.answer(REFUSED, fields, b"refused; nothing ran\n", close)
-            case m.Failed():
+            case messages.Failed():
                 status = answer.code or (LATE if answer.late else FAILED)
                 promise = [NOT_RUN] if answer.code else []
                 return http.answer(status, [*fields, PLAIN, *promise], f"{answer.text}\n".encode(), close)
-            case m.Healthy():
+            case messages.Healthy():
                 status = SERVED if answer.good else REFUSED
                 body = orjson.dumps({"good": answer.good, "load": answer.load})
                 return http.answer(status, [*fields, ("Content-Type", "application/json")], body, close)
--- a/shelfhaven/lab/keeperposts.py
+++ b/shelfhaven/lab/keeperposts.py
@@ -9,7 +9,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from shelfhaven.membership.claims import handover as h
+from shelfhaven.membership.claims import handover
 from shelfhaven.membership.claims.voter import Keeper, Voter, VoterSettings
 from shelfhaven.membership.clock import boottime
 from shelfhaven.membership.exchange import Unanswered
@@ -27,11 +27,11 @@
         self.posts: list[tuple[str, str]] = []
         self.voters: dict[str, Voter] = {}
 
-    def make(self, name: str, life: int, began: float = -100.0) -> h.Handover:
+    def make(self, name: str, life: int, began: float = -100.0) -> handover.Handover:
         keepers = {n: Keeper(n, n, f"at-{n}") for n in ("k1", "k2", "k3")}
         exchange: Any = SimpleNamespace(routes={}, post=self.post)
         voter = self.voters[name] = Voter(VoterSettings(HOLD, 0.0), boottime() + began)
-        made = h.Handover(voter, name, f"at-{name}", life, keepers, exchange, Log("test"))
+        made = handover.Handover(voter, name, f"at-{name}", life, keepers, exchange, Log("test"))
         self.routes[f"at-{name}"] = exchange.routes
         return made
 
--- a/shelfhaven/membership/actor.py
+++ b/shelfhaven/membership/actor.py
@@ -13,8 +13,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from shelfhaven.membership import lastlist
-from shelfhaven.membership import member as m
+from shelfhaven.membership import lastlist, member
 from shelfhaven.membership.exchange import Exchange
 from shelfhaven.membership.passing import Answer
 from shelfhaven.membership.readiness import Readiness, Step
@@ -71,10 +70,10 @@
 
     def __init__(self, config: MembershipConfig, name: str, seed: int, world: World, log: Log) -> None:
         self.config, self.world, self.log = config, world, log
-        self.me = m.Me(name, config.zone, config.region, str(config.advertise))
+        self.me = member.Me(name, config.zone, config.region, str(config.advertise))
         now = time.monotonic()
         random = Random(seed ^ time.time_ns())
-        self.member = m.Member(
+        self.member = member.Member(
             config.member, self.me, now, time.time(), random, config.peers, self._kept(), bool(config.service)
         )
         self.readiness = Readiness(config.readiness, now)
@@ -130,7 +129,7 @@
         elif new and old and self.service and new.endpoints != old.endpoints:
             self.service.move(new.endpoints)
             self.config = config
-            self.tell(m.Moved())
+            self.tell(member.Moved())
         return kept
 
     def keep_list(self, keep: bool) -> None:
@@ -140,7 +139,7 @@
 
     def leave(self) -> None:
         """The node drains: off the list, at once."""
-        self._do(self.member.on(time.monotonic(), m.Leave()))
+        self._do(self.member.on(time.monotonic(), member.Leave()))
 
     async def end(self) -> None:
         """Stop for good."""
@@ -158,21 +157,21 @@
 
     # Events and actions
 
-    def tell(self, event: m.Event) -> None:
+    def tell(self, event: member.Event) -> None:
         """Something happened."""
         if not self.ended:
             self.seen[type(event).__name__] += 1
             self._do(self.member.on(time.monotonic(), event))
 
-    def _do(self, actions: list[m.Action]) -> None:
+    def _do(self, actions: list[member.Action]) -> None:
         value = f"{self.me.address} {self.me.region}"
         for action in actions:
             match action:
-                case m.AskPeer():
+                case member.AskPeer():
                     task = asyncio.ensure_future(self._ask(action))
                     self.tasks.add(task)
                     task.add_done_callback(self.tasks.discard)
-                case m.Changed():
+                case member.Changed():
                     view = self.member.view
                     self.log.event(
                         "list_changed", verdict=action.verdict.value, nodes=len(self.member.roster),
@@ -218,15 +217,15 @@
 
     # Peers
 
-    async def _ask(self, ask: m.AskPeer) -> None:
+    async def _ask(self, ask: member.AskPeer) -> None:
         got = await self.exchange.ask(ask.peer, self.me.address, ask.since, self.learning)
         if isinstance(got, float):
-            self.tell(m.PeerFailed(ask.peer, got))
+            self.tell(member.PeerFailed(ask.peer, got))
             return
         self.strain = max(self.strain, got.strain)
         if self.learning and got.servers is not None:
             self._learn(ask.peer, got.servers)
-        self.tell(m.PeerTold(ask.peer, got.told, got.warm, got.contacts))
+        self.tell(member.PeerTold(ask.peer, got.told, got.warm, got.contacts))
 
     def _learn(self, peer: str, servers: Any) -> None:
         try:
@@ -246,7 +245,7 @@
         told = self.member.view.tell(now, since)
         known = {"health": self.world.health(), "known": self.world.known_servers()} if servers else None
         if peer:
-            self.tell(m.PeerAsked(peer))
+            self.tell(member.PeerAsked(peer))
         warm = self.readiness.warm(now)
         return Answer(told, warm, tuple(self.member.some_contacts(4)), self.world.strain(), known)
 
@@ -262,7 +261,7 @@
             self.log.event("readiness", step=step.value, after=round(now - self.readiness.began, 2))
             if step is Step.READY:
                 self.learning = False
-                self.tell(m.Ready())
+                self.tell(member.Ready())
         heard = bool(self.member.warmth)  # who has heard of nobody takes the fleet to be as cold as it is
         self.world.fleet(cold if heard else 1.0, self.member.size(), self.strain)
         self.strain = 1.0
--- a/shelfhaven/membership/claims/guard.py
+++ b/shelfhaven/membership/claims/guard.py
@@ -34,7 +34,7 @@
 from shelfhaven.membership.clock import boottime
 from shelfhaven.membership.exchange import Exchange, Unanswered
 from shelfhaven.routing.spread import spread
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 RESULT = "/claims/result"  # what peers post here
@@ -74,8 +74,8 @@
 class Asking:
     """A claim that is on its way."""
 
-    launch: m.Launch
-    run: Callable[[m.Launch], None]
+    launch: messages.Launch
+    run: Callable[[messages.Launch], None]
     claim: Claim
     count: Count
     window: float
@@ -106,7 +106,7 @@
 
     def __init__(
         self, settings: ClaimSettings, name: str, address: str, life: int,
-        send: Callable[[str, Any], None], exchange: Exchange, tell: Callable[[m.Told], None], log: Log,
+        send: Callable[[str, Any], None], exchange: Exchange, tell: Callable[[messages.Told], None], log: Log,
     ) -> None:  # fmt: skip
         self.settings, self.name, self.address = settings, name, address
         self.by = f"{address}{LIVES}{life}"
@@ -162,7 +162,7 @@
 
     # Runs
 
-    def launch(self, launch: m.Launch, run: Callable[[m.Launch], None], turn: int = 1) -> None:
+    def launch(self, launch: messages.Launch, run: Callable[[messages.Launch], None], turn: int = 1) -> None:
         """Claim a keyed run, and begin it by `run` if it is granted."""
         window, deadline = self.settings.windows[launch.cls]
         number, now = next(self.numbers), boottime()
@@ -184,7 +184,7 @@
             asking.timers.append(loop.call_later(self.settings.again, self._ask, number))
         self._ask(number)
 
-    def over(self, done: m.RunDone) -> None:
+    def over(self, done: messages.RunDone) -> None:
         """A run is over; if it was claimed here, remember how, for those whom its repeats come to."""
         own = self.by_call.pop(done.call, None)
         if own is None:
@@ -257,10 +257,10 @@
         else:
             self._unable(launch, max(asking.count.left(), SILENT_ADVICE))
 
-    def _unable(self, launch: m.Launch, advice: float) -> None:
+    def _unable(self, launch: messages.Launch, advice: float) -> None:
         """It has not run, and will not: refused, with when to come back."""
         self.counts["refused"] += 1
-        self.tell(m.RunDone(launch.call, Outcome.FULL, 0.0, advice=advice))
+        self.tell(messages.RunDone(launch.call, Outcome.FULL, 0.0, advice=advice))
 
     def _ended(self, own: Own, state: State) -> None:
         own.state = state
@@ -304,7 +304,7 @@
             return
         outcome = {State.SERVED: Outcome.OK, State.UNRUN: Outcome.FULL}.get(state, Outcome.ERROR)
         advice = SILENT_ADVICE if outcome is Outcome.FULL else 0.0
-        self.tell(m.RunDone(launch.call, outcome, 0.0, body, advice))
+        self.tell(messages.RunDone(launch.call, outcome, 0.0, body, advice))
 
     async def _asked_result(self, raw: bytes) -> bytes:
         """Another node asks what became of a claim of this one's."""
--- a/shelfhaven/membership/duties/actor.py
+++ b/shelfhaven/membership/duties/actor.py
@@ -14,7 +14,7 @@
 
 from shelfhaven.membership.agreement.interface import Agreement, AgreementError, Refused
 from shelfhaven.membership.clock import boottime
-from shelfhaven.membership.duties import keeper as k
+from shelfhaven.membership.duties import keeper
 from shelfhaven.membership.duties.grant import Grant, Lost
 from shelfhaven.membership.duties.placement import Place, place
 from shelfhaven.membership.duties.record import HOLD
@@ -33,7 +33,7 @@
     """Actor of one node's duties; `works` makes the work of a duty anew for each holding."""
 
     def __init__(
-        self, settings: k.KeeperSettings, duties: Mapping[str, str], node: str, address: str,
+        self, settings: keeper.KeeperSettings, duties: Mapping[str, str], node: str, address: str,
         engine: Agreement, works: Callable[[str], Work], health: Callable[[], float], seed: int, log: Log,
         expected: int = 1,
     ) -> None:  # fmt: skip
@@ -42,7 +42,7 @@
             dict(duties), node, engine, works, health, log,
         )  # fmt: skip
         random = Random(seed ^ time.time_ns())
-        self.keeper = k.Keeper(settings, node, boottime(), random, address)
+        self.keeper = keeper.Keeper(settings, node, boottime(), random, address)
         self.grants: dict[str, Grant] = {}
         self.running: dict[str, asyncio.Task[None]] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -71,7 +71,7 @@
             self.nodes = fresh
             self._place_soon()
 
-    def told(self, settings: k.KeeperSettings, duties: Mapping[str, str]) -> None:
+    def told(self, settings: keeper.KeeperSettings, duties: Mapping[str, str]) -> None:
         """A new file."""
         self.keeper.settings = settings
         if dict(duties) != self.duties:
@@ -82,17 +82,18 @@
         """The store is another: what the one before answers yet says nothing."""
         for task in list(self.tasks):
             task.cancel()
-        self.tell(k.Moved())
+        self.tell(keeper.Moved())
 
     def leave(self) -> None:
         """The node drains: its duties go on to others."""
-        self.tell(k.Leave())
+        self.tell(keeper.Leave())
 
     async def end(self) -> None:
         """Stop for good."""
         deadline = time.monotonic() + RELEASED_WITHIN
         while time.monotonic() < deadline and any(
-            book.state in k.MINE or book.aim is not k.Aim.NONE for book in self.keeper.books.values()
+            book.state in keeper.MINE or book.aim is not keeper.Aim.NONE
+            for book in self.keeper.books.values()
         ):
             await asyncio.sleep(0.02)
         self.ended = True
@@ -124,48 +125,48 @@
         took = time.monotonic() - began
         self.place_due = time.monotonic() + max(PLACE_EVERY, PLACE_PART * took)
         self.changed_places(self.places)
-        self.tell(k.Placed(self.places, max(len(nodes), self.expected)))
+        self.tell(keeper.Placed(self.places, max(len(nodes), self.expected)))
         if (duties, nodes) != (self.duties, self.nodes):
             self._place_soon()
 
     # Events and actions
 
-    def tell(self, event: k.Event) -> None:
+    def tell(self, event: keeper.Event) -> None:
         """Something happened."""
         if not self.ended:
             self.seen[type(event).__name__] += 1
             self._do(self.keeper.on(boottime(), event))
 
-    def _do(self, actions: list[k.Action]) -> None:
+    def _do(self, actions: list[keeper.Action]) -> None:
         for action in actions:
             self._act(action)
         self._set_alarm()
 
-    def _act(self, action: k.Action) -> None:
+    def _act(self, action: keeper.Action) -> None:
         match action:
-            case k.GetLease():
-                self._ask("grant", self._grant(action.seconds), lambda e: k.LeaseFailed(e.advice))
-            case k.KeepAlive():
+            case keeper.GetLease():
+                self._ask("grant", self._grant(action.seconds), lambda e: keeper.LeaseFailed(e.advice))
+            case keeper.KeepAlive():
                 lease = action.lease
-                self._ask("beat", self._beat(lease), lambda e: k.BeatFailed(lease, e.advice))
-            case k.GiveBack():
+                self._ask("beat", self._beat(lease), lambda e: keeper.BeatFailed(lease, e.advice))
+            case keeper.GiveBack():
                 self._ask("revoke", self.engine.revoke(action.lease), lambda _: None)
-            case k.ReadItems():
-                self._ask("read", self._read(action.keys), lambda e: k.ReadFailed(e.advice))
-            case k.WatchItems():
+            case keeper.ReadItems():
+                self._ask("read", self._read(action.keys), lambda e: keeper.ReadFailed(e.advice))
+            case keeper.WatchItems():
                 self._unwatch()
                 self.watch = asyncio.ensure_future(self._watched(action.keys, action.after))
-            case k.Unwatch():
+            case keeper.Unwatch():
                 self._unwatch()
-            case k.Sweep():
-                self._ask("sweep", self._sweep(), lambda e: k.SweepFailed(e.advice))
-            case k.Do():
+            case keeper.Sweep():
+                self._ask("sweep", self._sweep(), lambda e: keeper.SweepFailed(e.advice))
+            case keeper.Do():
                 do = action
                 self._ask(
                     "change", self._change(do),
-                    lambda e: k.Changed(do.name, None, do.number, e.advice, isinstance(e, Refused)),
+                    lambda e: keeper.Changed(do.name, None, do.number, e.advice, isinstance(e, Refused)),
                 )  # fmt: skip
-            case k.Turned():
+            case keeper.Turned():
                 self.log.event(
                     "duty", duty=action.name, state=action.state.value, fence=action.fence, why=action.why,
                     acts=self.keeper.may_act(boottime(), action.name, action.fence) > 0,
@@ -174,7 +175,10 @@
                 self._work(action)
 
     def _ask(
-        self, kind: str, work: Awaitable[k.Event | None], failed: Callable[[AgreementError], k.Event | None]
+        self,
+        kind: str,
+        work: Awaitable[keeper.Event | None],
+        failed: Callable[[AgreementError], keeper.Event | None],
     ) -> None:
         self.asked[kind] += 1
 
@@ -191,32 +195,32 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _grant(self, seconds: float) -> k.Event:
+    async def _grant(self, seconds: float) -> keeper.Event:
         got = await self.engine.grant(seconds)
-        return k.LeaseGot(got.lease, got.seconds)
+        return keeper.LeaseGot(got.lease, got.seconds)
 
-    async def _beat(self, lease: int) -> k.Event:
-        return k.Beaten(lease, await self.engine.beat(lease))
+    async def _beat(self, lease: int) -> keeper.Event:
+        return keeper.Beaten(lease, await self.engine.beat(lease))
 
-    async def _read(self, keys: Sequence[str]) -> k.Event:
-        return k.Seen(await self.engine.read(keys), True)
+    async def _read(self, keys: Sequence[str]) -> keeper.Event:
+        return keeper.Seen(await self.engine.read(keys), True)
 
-    async def _sweep(self) -> k.Event:
-        return k.Swept(await self.engine.listed(HOLD))
+    async def _sweep(self) -> keeper.Event:
+        return keeper.Swept(await self.engine.listed(HOLD))
 
-    async def _change(self, do: k.Do) -> k.Event:
-        return k.Changed(do.name, await self.engine.change(do.change), do.number)
+    async def _change(self, do: keeper.Do) -> keeper.Event:
+        return keeper.Changed(do.name, await self.engine.change(do.change), do.number)
 
     async def _watched(self, keys: Sequence[str], after: int) -> None:
         advice = 0.0
         try:
             async for snapshot in self.engine.watch(keys, after):
-                self.tell(k.Seen(snapshot, False))
+                self.tell(keeper.Seen(snapshot, False))
         except AgreementError as error:
             advice = error.advice
             self.log.event("agreement", asked="watch", error=f"{type(error).__name__}: {error}")
         self.watch = None
-        self.tell(k.WatchEnded(advice))
+        self.tell(keeper.WatchEnded(advice))
 
     def _unwatch(self) -> None:
         if self.watch:
@@ -237,38 +241,38 @@
     def _look(self) -> None:
         well = self.health() >= WELL_LEAST
         if well != self.keeper.well:
-            self.tell(k.Well(well))
+            self.tell(keeper.Well(well))
         self.look = asyncio.get_running_loop().call_later(LOOK, self._look)
 
     # Works
 
-    def _work(self, action: k.Action) -> None:
+    def _work(self, action: keeper.Action) -> None:
         match action:
-            case k.Begin():
+            case keeper.Begin():
                 self._begin(action)
-            case k.Pausing() if grant := self._grant_of(action.name, action.fence):
+            case keeper.Pausing() if grant := self._grant_of(action.name, action.fence):
                 grant.doubt()
-            case k.Resume() if grant := self._grant_of(action.name, action.fence):
+            case keeper.Resume() if grant := self._grant_of(action.name, action.fence):
                 grant.resume()
-            case k.Finish() if grant := self._grant_of(action.name, action.fence):
+            case keeper.Finish() if grant := self._grant_of(action.name, action.fence):
                 grant.finishing.set()
-            case k.Stop() if grant := self._grant_of(action.name, action.fence):
+            case keeper.Stop() if grant := self._grant_of(action.name, action.fence):
                 grant.lose()
                 if task := self.running.get(action.name):
                     task.cancel()
-            case k.NoteKept() if grant := self.grants.get(action.name):
+            case keeper.NoteKept() if grant := self.grants.get(action.name):
                 grant.note_kept(action.note)
 
     def _grant_of(self, name: str, fence: int) -> Grant | None:
         grant = self.grants.get(name)
         return grant if grant and grant.fence == fence else None
 
-    def _begin(self, begin: k.Begin) -> None:
+    def _begin(self, begin: keeper.Begin) -> None:
         name, fence = begin.name, begin.fence
         grant = Grant(
             name, fence, begin.note, lambda: self.keeper.may_act(boottime(), name, fence),
-            lambda note: self.tell(k.Noted(name, fence, note)),
-            lambda highest: self.tell(k.Fenced(name, fence, highest)),
+            lambda note: self.tell(keeper.Noted(name, fence, note)),
+            lambda highest: self.tell(keeper.Fenced(name, fence, highest)),
         )  # fmt: skip
         before = self.running.get(name)
         self.grants[name] = grant
@@ -298,7 +302,7 @@
             if self.running.get(grant.duty) is asyncio.current_task():
                 del self.running[grant.duty], self.grants[grant.duty]
         if not grant.over:  # else the keeper ended it, and may have begun another under the same number
-            self.tell(k.Ended(grant.duty, grant.fence, failed))
+            self.tell(keeper.Ended(grant.duty, grant.fence, failed))
 
     def load_now(self) -> dict[str, Any]:
         """For the log."""
--- a/shelfhaven/membership/etcd.py
+++ b/shelfhaven/membership/etcd.py
@@ -16,7 +16,7 @@
 
 import grpc
 
-from shelfhaven.membership import member as m
+from shelfhaven.membership import member
 from shelfhaven.membership.etcdlink import (
     BROKEN,
     GRANT,
@@ -38,7 +38,7 @@
 ENTRIES_MOST = 100_000  # of a whole list; more is no list of a fleet
 PROGRESS_EVERY = 5.0  # seconds between two questions of a watch how far it is
 
-Tell: TypeAlias = Callable[[m.Event], None]
+Tell: TypeAlias = Callable[[member.Event], None]
 
 
 class Etcd:
@@ -59,21 +59,21 @@
         """The service is reached elsewhere from now on; what is open ends."""
         self.link.move(endpoints)
 
-    def do(self, action: m.Action, key: str = "", value: str = "") -> None:
+    def do(self, action: member.Action, key: str = "", value: str = "") -> None:
         """Carry out an action; `key` and `value` are the node's place on the list."""
         match action:
-            case m.Read():
-                self._spawn(self._read(), m.ServiceFailed(m.Read))
-            case m.Register():
-                self._spawn(self._register(action.seconds, key, value), m.ServiceFailed(m.Register))
-            case m.Renew():
-                self._spawn(self._renew(action.lease), m.ServiceFailed(m.Renew))
-            case m.Deregister():
+            case member.Read():
+                self._spawn(self._read(), member.ServiceFailed(member.Read))
+            case member.Register():
+                self._spawn(self._register(action.seconds, key, value), member.ServiceFailed(member.Register))
+            case member.Renew():
+                self._spawn(self._renew(action.lease), member.ServiceFailed(member.Renew))
+            case member.Deregister():
                 self._spawn(self._revoke(action.lease), None)
-            case m.Watch():
+            case member.Watch():
                 self.unwatch()
                 self.watch = asyncio.ensure_future(self._watched(action.after))
-            case m.Unwatch():
+            case member.Unwatch():
                 self.unwatch()
 
     def unwatch(self) -> None:
@@ -90,12 +90,12 @@
                 await asyncio.wait_for(asyncio.gather(*self.tasks, return_exceptions=True), self.within)
         await self.link.end()
 
-    def _spawn(self, work: Any, failed: m.ServiceFailed | None) -> None:
+    def _spawn(self, work: Any, failed: member.ServiceFailed | None) -> None:
         task = asyncio.ensure_future(self._guarded(work, failed))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _guarded(self, work: Any, failed: m.ServiceFailed | None) -> None:
+    async def _guarded(self, work: Any, failed: member.ServiceFailed | None) -> None:
         """A call that fails is told as such, once, with the service's advice."""
         try:
             with ends_told():
@@ -104,7 +104,7 @@
         except BROKEN as error:
             self.link.trouble(error)
             if failed:
-                self.tell(m.ServiceFailed(failed.what, advice_of(error)))
+                self.tell(member.ServiceFailed(failed.what, advice_of(error)))
 
     def _item(self, kv: pb.KeyValue) -> tuple[str, Item]:
         if not kv.key.startswith(self.prefix):
@@ -126,7 +126,7 @@
             if len(items) > ENTRIES_MOST:
                 raise ValueError("a list of too many entries")
             key = got.kvs[-1].key + b"\0"
-        self.tell(m.ReadDone(store, revision, items))
+        self.tell(member.ReadDone(store, revision, items))
 
     async def _register(self, seconds: float, key: str, value: str) -> None:
         asked = pb.LeaseGrantRequest(TTL=max(1, round(seconds)))
@@ -135,7 +135,7 @@
             raise ValueError(granted.error)
         put = pb.PutRequest(key=self.prefix + key.encode(), value=value.encode(), lease=granted.ID)
         await self.link.call(PUT, put, pb.PutResponse)
-        self.tell(m.Registered(granted.ID, float(granted.TTL)))
+        self.tell(member.Registered(granted.ID, float(granted.TTL)))
 
     async def _renew(self, lease: int) -> None:
         call = self.link.stream(KEEP_ALIVE, pb.LeaseKeepAliveRequest, pb.LeaseKeepAliveResponse)
@@ -144,7 +144,7 @@
             got = await call.read()
             if got is grpc.aio.EOF:
                 raise ValueError("a renewal without an answer")
-            self.tell(m.Renewed(gone=got.TTL <= 0))
+            self.tell(member.Renewed(gone=got.TTL <= 0))
         finally:
             call.cancel()
 
@@ -161,7 +161,7 @@
             advice = advice_of(error)
             self.link.trouble(error)
         self.watch = None
-        self.tell(m.WatchLost(compacted, advice))
+        self.tell(member.WatchLost(compacted, advice))
 
     async def _watching(self, after: int) -> bool:
         call = self.link.stream(WATCH, pb.WatchRequest, pb.WatchResponse)
@@ -210,4 +210,4 @@
                 gone.pop(key, None)
         # events may come in several answers, each with the store's revision: what has come ends with the last
         revision = max((event.kv.mod_revision for event in got.events), default=got.header.revision)
-        self.tell(m.Watched(f"{got.header.cluster_id:x}", revision, put, tuple(gone)))
+        self.tell(member.Watched(f"{got.header.cluster_id:x}", revision, put, tuple(gone)))
--- a/shelfhaven/membership/zones/actor.py
+++ b/shelfhaven/membership/zones/actor.py
@@ -20,7 +20,7 @@
 from shelfhaven.membership.agreement.interface import Agreement, AgreementError
 from shelfhaven.membership.exchange import Exchange, Unanswered
 from shelfhaven.membership.sealed import seal, unseal
-from shelfhaven.membership.zones import gossip as g
+from shelfhaven.membership.zones import gossip
 from shelfhaven.membership.zones.digest import Digest, as_raw, from_raw
 from shelfhaven.membership.zones.document import Document, Follower
 from shelfhaven.membership.zones.document import decode as decode_document
@@ -50,13 +50,13 @@
     """Actor of one node's part in the zones."""
 
     def __init__(
-        self, settings: g.GossipSettings, me: Digest, listen: Address, secret: bytes, exchange: Exchange,
+        self, settings: gossip.GossipSettings, me: Digest, listen: Address, secret: bytes, exchange: Exchange,
         within: float, measured: Callable[[Digest], Digest], seed: int, log: Log,
     ) -> None:  # fmt: skip
         self.listen, self.secret, self.exchange, self.within = listen, secret, exchange, within
         self.measured, self.log = measured, log
         now = time.monotonic()
-        self.gossip = g.Gossip(settings, me, now, Random(seed ^ time.time_ns()))
+        self.gossip = gossip.Gossip(settings, me, now, Random(seed ^ time.time_ns()))
         self.follower = Follower()
         self.engine: Agreement | None = None
         self.reads = False  # one of the few that look at the store for all
@@ -154,12 +154,12 @@
             self.counts["unreadable"] += 1
             self.log.event("datagram", error=str(error))
 
-    def _do(self, actions: list[g.Action]) -> None:
+    def _do(self, actions: list[gossip.Action]) -> None:
         for action in actions:
             match action:
-                case g.Send():
+                case gossip.Send():
                     self.send(action.to, as_raw(action.message))
-                case g.Newer() if not self.asking:
+                case gossip.Newer() if not self.asking:
                     self.asking = True
                     self._task(self._ask(action.address))
         if self.alarm:
--- a/shelfhaven/state/actor.py
+++ b/shelfhaven/state/actor.py
@@ -20,7 +20,7 @@
 import apsw
 
 from shelfhaven.membership.clock import boottime
-from shelfhaven.server import messages as m
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.state.disk import Choice, Disk, Standing, Trouble
 from shelfhaven.state.earlier import Earlier
@@ -49,6 +49,8 @@
 EARLY_MOST = 1024  # writes before the file is read
 ENDS_MOST = 16_384  # writes of ended runs that are kept for a disk that comes back
 
+StateMessage = messages.Intended | messages.Written | messages.Fetched  # what the core hears from here
+
 
 @dataclass(eq=False, slots=True)
 class Waiting:
@@ -64,7 +66,7 @@
     """Actor of the keys' file."""
 
     def __init__(
-        self, settings: StateSettings, tell: Callable[[m.Intended | m.Written | m.Fetched], None], log: Log,
+        self, settings: StateSettings, tell: Callable[[StateMessage], None], log: Log,
         open_store: Callable[[], Store] | None = None,
     ) -> None:  # fmt: skip
         self.settings, self.tell, self.log = settings, tell, log
@@ -73,7 +75,7 @@
         self.queue: deque[Waiting] = deque()
         self.rows: dict[bytes, Row] = {}  # intents of runs that are not over
         self.store: Store | None = None
-        self.early: list[tuple[m.Kept, float]] = []  # to be written once it is known into which boot
+        self.early: list[tuple[messages.Kept, float]] = []  # to be written once it is known into which boot
         self.boot = 0
         self.busy = False
         self.writer = Writer()
@@ -220,16 +222,16 @@
         """Seconds for which a key is, or may be, an earlier life's, and whether `fetch` knows it."""
         return self.before.held(boottime(), id_, window)
 
-    def intend(self, ref: int, kept: m.Kept) -> None:
+    def intend(self, ref: int, kept: messages.Kept) -> None:
         """A keyed run is to begin: `Intended` tells whether it may."""
         now = boottime()
         if not self.disk.takes(now, len(self.queue)):
             if self.settings.disk.choice is Choice.GO_ON:
                 self.counts["in_memory"] += 1
-                self.tell(m.Intended(ref, True))
+                self.tell(messages.Intended(ref, True))
             else:
                 self.counts["refused"] += 1
-                self.tell(m.Intended(ref, False, self.disk.advice(now)))
+                self.tell(messages.Intended(ref, False, self.disk.advice(now)))
             return
         row = self.rows[kept.id] = self._row(kept)
         self._put(Waiting(Put(row), ref, intent=True))
@@ -252,14 +254,14 @@
         if self.rows.pop(id_, None) is not None:
             self._put(Waiting(Drop(id_)))
 
-    def may_have_run(self, kept: m.Kept) -> None:
+    def may_have_run(self, kept: messages.Kept) -> None:
         """It ran out of sight, or may have: a start is to know that, and nobody waits for it."""
         if not self.disk.loaded and len(self.early) < EARLY_MOST:
             self.early.append((kept, boottime()))
         elif len(self.queue) < ENDS_MOST:
             self._put(Waiting(Put(replace(self._row(kept), how=How.FAILED))))
 
-    def _row(self, kept: m.Kept) -> Row:
+    def _row(self, kept: messages.Kept) -> Row:
         words = told(kept.cls, kept.tenant, kept.key)
         return Row(kept.id, How.INTENT, self.boot, boottime() + kept.left, words)
 
@@ -275,7 +277,7 @@
         except (apsw.Error, OSError) as error:
             self._failed(_trouble(error), str(error))
         self.counts["fetched"] += 1
-        self.tell(m.Fetched(ref, row.result if row and row.how is How.SERVED else None))
+        self.tell(messages.Fetched(ref, row.result if row and row.how is How.SERVED else None))
 
     # Writes
 
@@ -301,7 +303,7 @@
         if waiting.timer:
             waiting.timer.cancel()
         if ref:
-            self.tell(m.Intended(ref, True) if waiting.intent else m.Written(ref))
+            self.tell(messages.Intended(ref, True) if waiting.intent else messages.Written(ref))
 
     def _waited(self, waiting: Waiting) -> None:
         """It takes too long: an intent is taken back, an end is answered all the same.
@@ -332,7 +334,7 @@
         if waiting.timer:
             waiting.timer.cancel()
         self.rows.pop(waiting.op.row.id, None)
-        self.tell(m.Intended(ref, False, self.disk.advice(boottime())))
+        self.tell(messages.Intended(ref, False, self.disk.advice(boottime())))
 
     def _pump(self) -> None:
         """Give the thread all that waits, if it is free and the disk may be tried."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -7,18 +7,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 import struct
+from collections.abc import Iterator
 from typing import Any
 
 import orjson
 import pytest
 
+from shelfhaven.backends import agent as agents
+from shelfhaven.config import Address
 from shelfhaven.fronts import connection as connections
 from shelfhaven.fronts.connection import Connection, ConnectionState
 from shelfhaven.fronts.listener import Listener
 from shelfhaven.lab.callers import until
+from shelfhaven.lab.ports import reserved_port
 from shelfhaven.program.app import Phase
 from tests.peers import Site, play, site
 
@@ -281,3 +286,67 @@
             assert connection.unread_most == longest > 0
 
     play(check)
+
+
+def test_a_router_that_takes_no_answers_is_dropped_in_time_and_the_others_are_served() -> None:
+    async def check() -> None:
+        async with site() as s:
+            slow = await s.router()
+            slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            connection = await the_connection(s)
+            connection.unread_most = 0.2
+            writing = connection.stream.write(bytes(32 * 1024 * 1024))  # more than the system takes for it
+            writing.add_done_callback(lambda done: done.exception())
+            assert connection.stream.writing()
+            await until(connection.stream.closed)
+            other = await s.router()
+            other.writer.write(health_check(1))
+            assert "result" in await other.answer(1)
+
+    play(check)
+
+
+def test_a_dial_to_the_agent_that_hangs_is_given_up_and_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def check() -> None:
+        monkeypatch.setattr(agents, "DIAL_MOST", 0.2)
+        async with site() as s:
+            with hanging() as (listening, fillers):
+                link = s.app.peers.agent
+                linked = link.stream
+                link.move(Address(*listening.getsockname()))
+                await until(lambda: link.stream not in (linked, None))
+                hangs = link.stream
+                await until(lambda: link.stream not in (hangs, None))  # another dial
+                for filler in fillers:
+                    filler.close()
+                listening.setblocking(False)
+                await until(lambda: accepted(listening))
+
+    play(check)
+
+
+@contextlib.contextmanager
+def hanging() -> Iterator[tuple[socket.socket, list[socket.socket]]]:
+    """A listening socket whose backlog is full: the system answers no further dial."""
+    with contextlib.ExitStack() as stack:
+        listening = stack.enter_context(socket.socket())
+        listening.bind(("127.0.0.1", reserved_port()))
+        listening.listen(0)
+        fillers = [stack.enter_context(socket.socket()) for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listening.getsockname())
+        yield listening, fillers
+
+
+def accepted(listening: socket.socket) -> bool:
+    """Take what has connected; whether one of them has subscribed as a program does."""
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            connected, _ = listening.accept()
+            with connected:
+                connected.settimeout(0.05)
+                with contextlib.suppress(TimeoutError):
+                    if connected.recv(100):
+                        return True
+    return False
