--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -194,6 +194,48 @@
     play(check)
 
 
+def test_callers_that_have_asked_keep_their_connections_while_silent_ones_fill_the_rest() -> None:
+    async def check() -> None:
+        async with site(limits={"sockets": 16}) as s:
+            most = s.app.descriptors.routers_most
+            known = [await s.router() for _ in range(most // 2)]
+            for number, router in enumerate(known):
+                router.writer.write(health_check(number + 1))
+                await router.answer(number + 1)
+            for connection in s.app.listener.connections:
+                connection.used -= 60  # they have been idle for far longer than any newcomer
+            half = health_check(99)[:-5]
+            silent = [await s.router() for _ in range(most - len(known))]
+            for router in silent:
+                router.writer.write(half)
+            await until(lambda: sum(c.unread for c in s.app.listener.connections) == len(silent))
+            late = await s.router()
+            late.writer.write(health_check(9))
+            assert "result" in await late.answer(9), "once a silent one has had its time"
+            assert not any(router.ended for router in known)
+            for number, router in enumerate(known):
+                router.writer.write(health_check(50 + number))
+                assert "result" in await router.answer(50 + number)
+
+    play(check)
+
+
+def test_callers_that_have_asked_and_hold_more_than_their_part_make_room() -> None:
+    async def check() -> None:
+        async with site(limits={"sockets": 16}) as s:
+            known = [await s.router() for _ in range(s.app.descriptors.routers_most)]
+            for number, router in enumerate(known):
+                router.writer.write(health_check(number + 1))
+                await router.answer(number + 1)
+            for connection in s.app.listener.connections:
+                connection.used -= 60
+            late = await s.router()
+            late.writer.write(health_check(9))
+            assert "result" in await late.answer(9)
+
+    play(check)
+
+
 def test_a_request_whose_last_byte_comes_at_the_very_end_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     ending = asyncio.Event()
     end = Listener.end
