A block whose last ports are in use is followed by the next block, not by its own first port

A clean run failed test_ports with 255 of 256 ports apart: the last port of a block was listened on, so take() went on with the ports it had given before, though blocks were free. Lines at fault: the loop in PortBlocks.take.

--- a/shelfhaven/lab/ports.py
+++ b/shelfhaven/lab/ports.py
@@ -26,19 +26,25 @@
 class PortBlocks:
     """The blocks that this process holds, and which of their ports comes next."""
 
-    def __init__(self, name: str = "shelfhaven-ports") -> None:
-        """`name`: processes that share one never have a block in common."""
-        self.name = name
+    def __init__(self, name: str = "shelfhaven-ports", lowest: int = LOWEST, ends: int = 0) -> None:
+        """`name`: processes that share one never have a block in common; `ends`: the first port beyond, 0
+        for where the range begins that the system gives connections.
+        """
+        self.name, self.lowest = name, lowest
+        self.ends = ends or int(RANGE_FILE.read_text().split()[0])
         self.reservations: list[socket.socket] = []
         self.unused: list[int] = []  # the next one last
         self.given: list[int] = []  # the one that was given longest ago first
 
     def take(self) -> int:
         """A port that nobody listens on, and that no other process is given while this one runs."""
-        if not self.unused:
-            self._reserve()
-        for _ in range(len(self.unused) + len(self.given)):
-            port = self.unused.pop() if self.unused else self.given.pop(0)
+        while self.unused or self._reserve():
+            port = self.unused.pop()
+            self.given.append(port)
+            if _is_free(port):
+                return port
+        for _ in range(len(self.given)):  # every block is somebody's: the own ports once more
+            port = self.given.pop(0)
             self.given.append(port)
             if _is_free(port):
                 return port
@@ -50,10 +56,9 @@
             reservation.close()
         self.reservations, self.unused, self.given = [], [], []
 
-    def _reserve(self) -> None:
-        """One more block, if there is one; where there is none the own ports are given once more."""
-        ends = int(RANGE_FILE.read_text().split()[0])
-        for block in range(LOWEST, ends - BLOCK + 1, BLOCK):
+    def _reserve(self) -> bool:
+        """Take one more block, if there is one."""
+        for block in range(self.lowest, self.ends - BLOCK + 1, BLOCK):
             reservation = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
             try:
                 reservation.bind(f"\0{self.name}-{block}")
@@ -62,7 +67,8 @@
                 continue
             self.reservations.append(reservation)
             self.unused = list(range(block + BLOCK - 1, block - 1, -1))
-            return
+            return True
+        return False
 
 
 def _is_free(port: int) -> bool:
