--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -194,6 +194,42 @@
     play(check)
 
 
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_run_and_may_come_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    drop, crossing = Connection.drop, list[socket.socket]()
+
+    def crossed(connection: Connection) -> None:
+        """A request comes after the look, before the close."""
+        for router in crossing[:1]:
+            crossing.clear()
+            router.sendall(health_check(2))
+        drop(connection)
+
+    async def check() -> None:
+        async with site(limits={"sockets": 16}) as s:
+            listen = s.app.config.listen
+            assert listen
+            with socket.create_connection((listen.host, listen.port)) as idle:
+                connection = await the_connection(s)
+                connection.silent, connection.used = False, connection.used - 60
+                others = [await s.router() for _ in range(s.app.descriptors.routers_most - 1)]
+                for number, other in enumerate(others):
+                    other.writer.write(health_check(number + 10))
+                    await other.answer(number + 10)
+                crossing.append(idle)
+                monkeypatch.setattr(Connection, "drop", crossed)
+                again = await s.router()
+                again.writer.write(health_check(2))
+                assert "result" in await again.answer(2)
+                assert not crossing
+                idle.settimeout(1.0)
+                with contextlib.suppress(ConnectionResetError):
+                    assert idle.recv(100) == b"", "no answer, and none half sent"
+
+    play(check)
+
+
 def test_callers_that_have_asked_keep_their_connections_while_silent_ones_fill_the_rest() -> None:
     async def check() -> None:
         async with site(limits={"sockets": 16}) as s:
