Failed calls do not linger, untold quotas bound nobody, room is decided outside the front

Found on reading the whole change once more: - _call_ended took every call that did not succeed for one that stays below; one that came back as failed is over. Only calls given up, cut off or stopped linger now. New tests hold that for four outcomes, and that a call whose caller leaves lingers, which no test caused. - A tenant whose quota is not told counted as over its share with all its traffic, as 0 was taken for the quota; it is without a bound now.

--- a/shelfhaven/decision/control.py
+++ b/shelfhaven/decision/control.py
@@ -31,7 +31,7 @@
 LIMIT_GRAIN = 0.004  # seconds by which the same time limit of a caller may differ on its way here
 LIMIT_PART = 1 / 64  # of recent tries that bring the same time left: less is no limit that callers set
 LIMITS_SEEN = 256  # tries over which that is counted
-OWN_LIMITS = 3  # tries in a row without a known limit, after which a caller is taken to have its own
+OWN_AFTER = 3  # tries in a row without a known limit, after which a caller is taken to have its own
 
 # Hold and run cap
 ATC_SPAN = 2.0  # urgency starts this many mean runs before the last start; 2 is usual for this rule
@@ -90,7 +90,7 @@
 
     __slots__ = (
         "again", "aim_at", "answered", "arrived", "began", "caller", "cls", "due", "footprint", "hint", "id",
-        "late",         "ran", "read_at", "start_by", "state", "stopping", "waiters", "worth",
+        "late", "ran", "read_at", "start_by", "state", "stopping", "waiters", "worth",
     )  # fmt: skip
 
     def __init__(self, event: i.Arrival, caller: Caller, now: float, due: float, aim_at: float) -> None:
@@ -223,7 +223,7 @@
 
     def __init__(self, settings: i.Settings) -> None:
         self.over = settings.over_share_worth
-        self.quotas = [tenant.quota_per_s / max(1, settings.servers) for tenant in settings.tenants]
+        self.quotas = [t.quota_per_s / (settings.servers or 1) or math.inf for t in settings.tenants]
         self.rates, self.last = [0.0] * len(self.quotas), [0.0] * len(self.quotas)
 
     def arrive(self, now: float, tenant: int) -> float:
@@ -359,12 +359,12 @@
         if not _sane(event.budget):
             return 0.0
         left, marked = event.budget + _sane(event.age), self.settings.marks_retry
-        known, first = self.limits.known(left), marked and not event.retry
+        first = marked and not event.retry
+        known = first or self.limits.known(left)
         caller.strange = 0 if known or marked else caller.strange + 1
         if first or not marked:
             self.limits.note(left)
-        unaged = first or known or caller.strange > OWN_LIMITS or self.idle >= SPARE
-        return 0.0 if unaged else max(0.0, deadline - left)
+        return 0.0 if known or caller.strange > OWN_AFTER or self.idle >= SPARE else max(0.0, deadline - left)
 
     def _worthless_at(self, request: Request) -> float:
         """When an answer earns nothing any more: late worth keeps its part of the time to the due time."""
@@ -390,7 +390,7 @@
         most = 2 + RANK_STEP * (1 + DOUBLINGS_MOST)
         self.debt = min(self.debt + 1 - self.share, most) if self.share < 1 else 0.0
         protection = self.callers.protection(request.caller)
-        protection += RANK_STEP * self._doublings(request) if protection else 0.0
+        protection += RANK_STEP * self._doublings(request) if protection and self.share < 1 else 0.0
         shed = self.share < 1 and self.debt >= protection
         self.debt -= shed
         return shed
@@ -753,7 +753,7 @@
 
     def _call_ended(self, now: float, request: Request, event: i.CallEnded) -> None:
         self._note_call(now, event)
-        if event.outcome not in (i.Outcome.OK, *i.NEVER_RAN):
+        if event.outcome not in (i.Outcome.OK, i.Outcome.ERROR, *i.NEVER_RAN):  # it may go on there
             self.call_load.given_up(now)
         self._move(request, State.RUNNING if event.outcome is i.Outcome.OK else State.AT_CALL)
         if request.state == State.RUNNING:
--- a/shelfhaven/fronts/listener.py
+++ b/shelfhaven/fronts/listener.py
@@ -25,11 +25,11 @@
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading
+from shelfhaven.server.room import in_order_of_yielding
 
 BACKLOG = 1024
 SWEEP_LEAST = 0.05  # seconds between looks at idle connections; a request crosses a close within 50 ms
 WATCH = 0.25  # seconds between looks at connections that keep one waiting
-RESERVED_PART = 0.5  # of the connections, that callers which have asked keep against silent ones
 ROOM_AT_ONCE = 8  # connections closed at a time when all are taken
 END_LOOK = 0.02  # seconds between looks for connections that can be closed at the end
 FULL_PAUSE = 0.05  # seconds without accepting when descriptors run out
@@ -166,17 +166,9 @@
         return bool(unused)
 
     def _spare(self) -> list[Connection]:
-        """Connections that nobody uses, those that never asked anything first; a few at a time.
-
-        A part is kept for callers that have asked: while they hold no more than that and others are silent,
-        newcomers wait for one of the silent, which have little time for a message.
-        """
+        """Connections that have to make room and that nobody uses; a few at a time."""
         now = time.monotonic()
-        known = [connection for connection in self.connections if not connection.silent]
-        reserved = len(known) <= RESERVED_PART * len(self.connections)
-        open_to_newcomers = [c for c in self.connections if c.silent] if reserved else self.connections
-        by_use = sorted(open_to_newcomers, key=lambda c: (not c.silent, c.used))
-        spare = (connection for connection in by_use if connection.spare(now))
+        spare = (connection for connection in in_order_of_yielding(self.connections) if connection.spare(now))
         return list(itertools.islice(spare, ROOM_AT_ONCE))
 
     def _watch(self) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,7 +11,7 @@
 from shelfhaven.decision import control
 from shelfhaven.decision import interface as i
 from shelfhaven.decision.control import CallerList, Controller
-from tests.world import World
+from tests.world import Job, World
 
 LOOK = i.ClassSettings(1.0, 3.0)
 PATIENT = i.ClassSettings(60.0, 60.0)
@@ -157,6 +157,14 @@
     assert refused[1, 0] == 0
 
 
+def test_a_tenant_whose_quota_is_not_told_is_within_its_share() -> None:
+    tenants = (i.TenantSettings(0.0, 0.5), i.TenantSettings(2.0, 0.5))
+    world = overloaded(0.6, tenants=tenants, over_share_worth=0.05)
+    refused = _refused_by(world, [(0, 0)] + [(0, 1)] * 9)
+    assert refused[0, 0] == 0
+    assert refused[0, 1] > 50
+
+
 def test_worth_protects_no_caller_that_is_over_its_ceiling() -> None:
     world = overloaded(0.9, classes=(LOOK, replace(LOOK, worth=10.0)))
     world.arrive(0, 2)
@@ -516,6 +524,45 @@
     return found
 
 
+def _at_call() -> tuple[World, Job]:
+    """A server whose one request has its call in the hands of a shared dependency."""
+    classes = (i.ClassSettings(20.0, 20.0, calls=True),)
+    world = World(settings(below=i.Below.SHARED, calls_out=4.0, calls_over=5.0, linger=0.5, classes=classes))
+    job = world.arrive()
+    world.need_call(job)
+    assert job.state == "calling"
+    return world, job
+
+
+def _in_hand(world: World) -> int:
+    """Calls that the module takes to be in the dependency's hands."""
+    world.controller.call_load.seconds(world.now)
+    return world.controller.call_load.calls
+
+
+@pytest.mark.parametrize(
+    ("outcome", "lingers"),
+    [
+        (i.Outcome.OK, False), (i.Outcome.ERROR, False), (i.Outcome.FULL, False),
+        (i.Outcome.TIMEOUT, True),
+    ],
+)  # fmt: skip
+def test_only_a_call_that_was_given_up_lingers_below(outcome: i.Outcome, lingers: bool) -> None:
+    world, job = _at_call()
+    world.end_call(job, outcome)
+    assert _in_hand(world) == lingers
+    world.now += 0.6
+    assert _in_hand(world) == 0
+
+
+def test_the_call_of_a_request_whose_caller_leaves_lingers_below() -> None:
+    world, job = _at_call()
+    world.gone(job)
+    assert _in_hand(world) == 1
+    world.now += 0.6
+    assert _in_hand(world) == 0
+
+
 @pytest.mark.parametrize("share", [0.6, 1.5, 4.0])
 def test_calls_in_hand_below_keep_to_their_share_in_the_mean_of_every_span(share: float) -> None:
     span = 5.0
@@ -901,7 +948,7 @@
     world = _busy()
     _first_tries(world, 60, 1.5)
     own = [world.arrive(0, 7, budget=0.6 + turn / 50) for turn in range(8)]
-    assert [job.answers for job in own] == [1] * control.OWN_LIMITS + [0] * (8 - control.OWN_LIMITS)
+    assert [job.answers for job in own] == [1] * control.OWN_AFTER + [0] * (8 - control.OWN_AFTER)
 
 
 def test_on_idle_cores_an_old_try_is_served_all_the_same() -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from shelfhaven.server.descriptors import COMING, OTHERS, Descriptors
+from shelfhaven.server.room import in_order_of_yielding
 
 
 @given(st.integers(16, 80), st.lists(st.sampled_from(["router", "call", "router ends", "call ends"])))
@@ -43,3 +46,27 @@
     assert not d.take_call()
     assert d.take_router()
     assert not d.wanted
+
+
+@dataclass
+class Idle:
+    """A connection that nobody uses."""
+
+    name: str
+    silent: bool
+    used: float
+
+
+def _order(*connections: Idle) -> list[str]:
+    return [held.name for held in in_order_of_yielding(connections)]
+
+
+def test_silent_connections_yield_first_and_of_each_kind_the_longest_unused() -> None:
+    asked = [Idle("a", False, 3.0), Idle("b", False, 1.0), Idle("c", False, 2.0)]
+    assert _order(*asked, Idle("s", True, 9.0), Idle("t", True, 8.0)) == ["t", "s", "b", "c", "a"]
+
+
+def test_callers_that_have_asked_and_hold_half_or_less_do_not_yield_to_silent_ones() -> None:
+    asked = [Idle("a", False, 0.0), Idle("b", False, 0.0)]
+    assert _order(*asked, Idle("s", True, 9.0), Idle("t", True, 8.0)) == ["t", "s"]
+    assert _order(*asked) == ["a", "b"]
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -11,6 +11,7 @@
 import errno
 import socket
 import struct
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -41,6 +42,15 @@
     return framed({"jsonrpc": "2.0", "id": ref, "method": "alive"})
 
 
+def request(ref: int) -> dict[str, Any]:
+    """A request that runs."""
+    params = {
+        "call": f"{ref:016x}", "recv": int(time.time() * 1000), "src": 1, "org": "one", "heap": 10.0,
+        "crit": 0.5, "body": "YXNr",
+    }  # fmt: skip
+    return {"jsonrpc": "2.0", "id": ref, "method": "look", "params": params}
+
+
 async def the_connection(running: Site) -> Connection:
     """The one connection that the server holds."""
     await until(lambda: len(running.app.listener.connections) == 1)
@@ -203,7 +213,7 @@
         """A request comes after the look, before the close."""
         for router in crossing[:1]:
             crossing.clear()
-            router.sendall(health_check(2))
+            router.sendall(framed(request(2)))
         drop(connection)
 
     async def check() -> None:
@@ -220,9 +230,10 @@
                 crossing.append(idle)
                 monkeypatch.setattr(Connection, "drop", crossed)
                 again = await s.router()
-                again.writer.write(health_check(2))
+                again.send(request(2))
                 assert "result" in await again.answer(2)
                 assert not crossing
+                assert len(s.agent.launched) == 1, "the one that crossed the close was not run"
                 idle.settimeout(1.0)
                 with contextlib.suppress(ConnectionResetError):
                     assert idle.recv(100) == b"", "no answer, and none half sent"
