--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,9 @@
-"""Consultations of proxies end without a verdict when a node drains during a flood of them.
-
-Two nodes run by the command of the deploy file, with an operator's file that has a listener for proxies
-which ask by subrequest.  The proxies are stand-ins in this process: a fixed number of them, each with one
-consultation at a time on a connection of its own, so that the flood is bounded.  The disruption is a
-rolling deploy: one node gets SIGTERM and drains, its cold successor starts under the same address once it
-has ended, then it is the other node's turn.  A proxy goes to the other node when its connection is
-refused.
+"""A node that answers consultations by subrequest grows until the platform kills it for its memory.
+
+One node runs by the command of the deploy file, with an operator's file that has a listener for proxies
+which ask by subrequest.  The proxies and the platform's limit on memory are stand-ins in this process.  The
+disruption is a flood of consultations, at a rate that the service days name; without it, consultations
+come at a lower rate.  Nothing is stopped, delayed or lost.
 """
 
 from __future__ import annotations
@@ -26,20 +24,19 @@
 HERE = Path(__file__).resolve().parent
 ROOT = HERE.parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PROXIES = 240  # consultations at a time
-ROLLS = 8  # nodes that are replaced
-SETTLE_S = 0.5  # of load before a node is replaced
-CALM_S = 20.0  # of load without the disruption
-DEADLINE_S = 8.8  # of the class: no caller waits longer for a verdict
-STOP_S = 1.6  # from SIGTERM until the process is stopped, as at the site
-REFUSED_PAUSE_S = 0.02
-ALLOWED_SHARE = 3 / 1000  # of requests without a final answer, from which on the rule is broken
+LOAD_S = 90.0  # seconds of load at most
+RATE = 800.0 if TROUBLE else 100.0  # consultations a second
+MAX_OPEN = 200  # consultations at a time
+MEMORY_MB = 192  # of the node: the most that the pages give to an app server
+MEMORY_POLL_S = 0.25
+DEADLINE_S = 8.8  # of the class
+STOP_S = 3.2  # from SIGTERM until the process is stopped
 START_TIMEOUT_S = 30.0
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 10, 2  # run.sh turns them into its own
 
 OPERATOR_FILE = """
-node "{name}" {{ cores 1.0; memory "192MB"; descriptors 1024; stop "{stop_ms}ms"; }}
+node "clearing-1" {{ cores 1.0; memory "{memory_mb}MB"; descriptors 1024; stop "{stop_ms}ms"; }}
 work {{
     at-once 64
     memory "256MB"
@@ -68,29 +65,30 @@
 
 
 class Node:
-    """One node, and its successors under the same name and address."""
+    """The node, and the platform's limit on its memory."""
 
-    def __init__(self, name: str, folder: Path, record: Record) -> None:
-        self.name = name
+    def __init__(self, folder: Path, record: Record) -> None:
         self.folder = folder
         self.record = record
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = int(probe.getsockname()[1])
         self.process: asyncio.subprocess.Process | None = None
+        self.killed_at_mb = 0.0
 
     async def start(self) -> None:
         """Start the node by the command of the deploy file, and wait until it listens."""
-        path = self.folder / f"{self.name}.kdl"
-        path.write_text(OPERATOR_FILE.format(name=self.name, port=self.port, stop_ms=int(STOP_S * 1000)))
+        path = self.folder / "operator.kdl"
+        text = OPERATOR_FILE.format(port=self.port, memory_mb=MEMORY_MB, stop_ms=int(STOP_S * 1000))
+        path.write_text(text)
         command = (
             tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"] + f" --operator '{path}'"
         )
-        temporary = Path(tempfile.mkdtemp(dir=self.folder))
+        (self.folder / "tmp").mkdir()
         env = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
-        with (self.folder / f"{self.name}.log").open("ab") as log:
+        with (self.folder / "log").open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", command, cwd=ROOT, env=env | {"TMPDIR": str(temporary)},
+                "/bin/sh", "-c", command, cwd=ROOT, env=env | {"TMPDIR": str(self.folder / "tmp")},
                 stdout=log, stderr=log, start_new_session=True,
             )  # fmt: skip
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -98,113 +96,113 @@
                 with contextlib.suppress(OSError):
                     _, writer = await asyncio.open_connection("127.0.0.1", self.port)
                     writer.close()
-                    self.record.add(f"{self.name}: listens")
                     return
                 await asyncio.sleep(0.05)
-        raise EOFError((self.folder / f"{self.name}.log").read_text()[-2000:])
+        raise EOFError((self.folder / "log").read_text()[-2000:])
+
+    def memory_mb(self) -> float:
+        """Return the resident memory of the node's one process."""
+        assert self.process
+        fields = Path(f"/proc/{self.process.pid}/status").read_text().split("VmRSS:")
+        return int(fields[1].split()[0]) / 1024 if len(fields) > 1 else 0.0
 
-    async def drain(self) -> None:
-        """Send the notice to leave, and wait for the end; the process is killed after the stop time."""
+    async def limit_memory(self) -> None:
+        """Kill the node when it goes over its memory, as the platform does."""
+        assert self.process
+        noted_at = 0.0
+        while self.process.returncode is None:
+            used = self.memory_mb()
+            if time.monotonic() - noted_at >= 1:
+                noted_at = time.monotonic()
+                self.record.add(f"platform: the node has {used:.1f} MB of {MEMORY_MB}")
+            if used > MEMORY_MB:
+                self.record.add(f"BROKEN platform: the node has {used:.1f} MB of {MEMORY_MB} and is killed")
+                self.killed_at_mb = used
+                self.process.kill()
+                return
+            await asyncio.sleep(MEMORY_POLL_S)
+
+    async def stop(self) -> None:
+        """End the node."""
         assert self.process
         if self.process.returncode is None:
-            self.record.add(f"{self.name}: SIGTERM")
             self.process.terminate()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.process.wait(), STOP_S)
+                await asyncio.wait_for(self.process.wait(), STOP_S + 1)
         if self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):  # it has just ended
                 os.killpg(self.process.pid, signal.SIGKILL)
             await self.process.wait()
-        self.record.add(f"{self.name}: ended with {self.process.returncode}")
 
 
 class Proxies:
     """The proxies; `counts` has the consultations by how they ended."""
 
-    def __init__(self, nodes: list[Node], record: Record) -> None:
-        self.nodes = nodes
+    def __init__(self, port: int, record: Record) -> None:
+        self.port = port
         self.record = record
         self.counts: Counter[str] = Counter()
-        self.stopped = False
-
-    async def run(self, number: int) -> None:
-        """Send one consultation after the other, to the other node once a connection is refused."""
-        at = number % len(self.nodes)
-        sequence = 0
-        while not self.stopped:
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.nodes[at].port)
-            except OSError:  # proves that nothing was read
-                self.counts["connections refused"] += 1
-                at = (at + 1) % len(self.nodes)
-                await asyncio.sleep(REFUSED_PAUSE_S)
-                continue
-            sequence += 1
-            await self.consult(f"{number}-{sequence}", self.nodes[at].name, reader, writer)
-
-    async def consult(
-        self, subject: str, node: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Ask for the verdict on one request."""
-        sent_at = time.monotonic()
-        writer.write(
-            b"GET /auth HTTP/1.1\r\nHost: clearing\r\nX-Original-Method: GET\r\n"
-            b"X-Original-URI: /balance/%b\r\nConnection: close\r\n\r\n" % subject.encode()
-        )
-        answer, ended = b"", "the deadline passed"
-        try:
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, node: Node) -> None:
+        """Send consultations at the rate of the case, until the time is over or the node is gone."""
+        assert node.process
+        started_at = time.monotonic()
+        sent = 0
+        while (elapsed := time.monotonic() - started_at) < LOAD_S and node.process.returncode is None:
+            if sent < elapsed * RATE and len(self.tasks) < MAX_OPEN:
+                sent += 1
+                task = asyncio.create_task(self.consult(str(sent)))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+                await asyncio.sleep(0)
+            else:
+                await asyncio.sleep(0.001)
+        if self.tasks:
+            await asyncio.wait(self.tasks)
+
+    async def consult(self, subject: str) -> None:
+        """Ask for the verdict on one request, on a connection of its own."""
+        answer = b""
+        with contextlib.suppress(OSError):  # a TimeoutError is an OSError
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(
+                b"GET /auth HTTP/1.1\r\nHost: clearing\r\nX-Original-Method: GET\r\n"
+                b"X-Original-URI: /balance/%b\r\nConnection: close\r\n\r\n" % subject.encode()
+            )
             answer = await asyncio.wait_for(reader.read(), DEADLINE_S)
-            ended = "the connection ended"
-        except TimeoutError:
-            pass
-        except OSError as error:
-            ended = f"the connection broke: {error.strerror}"
-        writer.close()
-        seconds = time.monotonic() - sent_at
-        if answer.startswith(b"HTTP/1.1 ") and b"\r\n\r\n" in answer:
-            status = answer[9:12].decode()
-            self.counts[f"verdicts {status}"] += 1
-            self.record.add(f"{node}: verdict {status} on {subject} after {seconds:.3f} s")
-        else:
-            self.counts["no verdict"] += 1
-            self.record.add(f"{node}: NO VERDICT on {subject} after {seconds:.3f} s: {ended}")
-
-
-async def roll(nodes: list[Node]) -> None:
-    """Replace the nodes one after the other."""
-    for number in range(ROLLS):
-        await asyncio.sleep(SETTLE_S)
-        node = nodes[number % len(nodes)]
-        await node.drain()
-        await node.start()
-    await asyncio.sleep(SETTLE_S)
+            writer.close()
+        status = answer[9:12].decode() if answer.startswith(b"HTTP/1.1 ") else "none"
+        self.counts[f"verdicts {status}"] += 1
+        self.record.add(f"proxy: verdict {status} on {subject}")
 
 
 async def play(record: Record, folder: Path) -> int:
     """Play the case; return the exit code."""
-    nodes = [Node(name, folder, record) for name in ("clearing-1", "clearing-2")]
-    proxies = Proxies(nodes, record)
+    node = Node(folder, record)
+    proxies = Proxies(node.port, record)
+    crashed = False
     try:
-        for node in nodes:
-            await node.start()
-        tasks = [asyncio.create_task(proxies.run(number)) for number in range(PROXIES)]
-        await (roll(nodes) if TROUBLE else asyncio.sleep(CALM_S))
-        proxies.stopped = True
-        await asyncio.gather(*tasks)
-        crashed = any(node.process and node.process.returncode is not None for node in nodes)
+        await node.start()
+        before = node.memory_mb()
+        limit = asyncio.create_task(node.limit_memory())
+        await proxies.run(node)
+        after = node.killed_at_mb or node.memory_mb()
+        assert node.process
+        crashed = node.process.returncode is not None and not node.killed_at_mb
+        limit.cancel()
     finally:
-        for node in nodes:
-            if node.process:
-                await node.drain()
-    counts = proxies.counts
-    sent = sum(count for kind, count in counts.items() if kind != "connections refused")
-    share = counts["no verdict"] / max(1, sent)
-    summary = f"{dict(counts)}; without a verdict {1000 * share:.1f} of 1,000, allowed under 3"
+        if node.process:
+            await node.stop()
+    summary = (
+        f"{dict(proxies.counts)}; memory {before:.0f} MB before, {after:.0f} MB after, limit {MEMORY_MB} MB; "
+        f"killed: {bool(node.killed_at_mb)}"
+    )
     record.add(f"totals: {summary}")
     print(summary)
-    if crashed or sent < 1000:
+    if crashed or proxies.counts["verdicts 200"] < 1000:
         return EXIT_NOT_RUN
-    return EXIT_BROKEN if share >= ALLOWED_SHARE else EXIT_HELD
+    return EXIT_BROKEN if node.killed_at_mb else EXIT_HELD
 
 
 def main() -> int:
