--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,9 +25,9 @@
 ROOT = HERE.parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LOAD_S = 90.0  # seconds of load at most
-RATE = 800.0 if TROUBLE else 100.0  # consultations a second
+RATE = 800.0 if TROUBLE else 50.0  # consultations a second
 MAX_OPEN = 200  # consultations at a time
-MEMORY_MB = 192  # of the node: the most that the pages give to an app server
+MEMORY_MB = 128  # of the node: the pages give an app server 32 to 192 MB
 MEMORY_POLL_S = 0.25
 DEADLINE_S = 8.8  # of the class
 STOP_S = 3.2  # from SIGTERM until the process is stopped
