--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,7 +29,7 @@
 ROOT = HERE.parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = 44
-LOAD_S = 95.0  # seconds of load
+LOAD_S = 85.0  # seconds of load
 BREAK_EVERY_S = 1.5  # mean time between two breaks of the link
 REQUESTS_PER_S = 100.0
 ROUTERS = 4
@@ -39,7 +39,7 @@
 LEDGER_S = (0.005, 0.03)  # a call's time at the ledger
 CLASS = "history-pull"
 DEADLINE_S = 6.5
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 15.0
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 10, 2  # run.sh turns them into its own
 
@@ -73,11 +73,13 @@
 
     Attributes:
         waits_for: the body of the call for whose reply the run waits; empty if it does not wait.
+        call_number: the number of the notice that asked for the last call.
         replies: the replies that it got so far.
     """
 
     run_id: str
     waits_for: str = ""
+    call_number: int = 0
     replies: list[str] = field(default_factory=list)
     ended: bool = False
 
@@ -134,16 +136,16 @@
         match words:
             case ["sample", tag]:
                 self.send(f"sampled {tag} 0.5 6 0.2 8\r\n".encode())
-            case ["launch", run_id, _, _]:
-                self.launch(run_id, body)
+            case ["launch", run_id, class_name, _]:
+                self.launch(run_id, class_name, body)
             case ["deliver", run_id, _]:
                 self.deliver(run_id, body.decode())
-            case ["forgo", run_id, _]:
-                self.record.add(f"agent: forgo {run_id}")
+            case ["forgo", run_id, number]:
+                self.forgo(run_id, int(number))
 
-    def launch(self, run_id: str, body: bytes) -> None:
+    def launch(self, run_id: str, class_name: str, body: bytes) -> None:
         """Run a request that came to the app server, unless it runs or has run already."""
-        if self.bodies.get(run_id) != body:
+        if class_name != CLASS or self.bodies.get(run_id) != body:
             self.send(f"refusal launch {run_id}\r\n".encode())
         elif run_id not in self.runs:
             self.record.add(f"agent: launch {run_id}")
@@ -167,6 +169,28 @@
             run.replies.append(reply)
             self.after_phase(run_id)
 
+    def forgo(self, run_id: str, number: int) -> None:
+        """Let a run go on without the call that the notice with this number asked for."""
+        self.record.add(f"agent: forgo {run_id} {number}")
+        run = self.runs.get(run_id)
+        if run and run.waits_for and run.call_number == number:
+            run.waits_for = ""
+            run.replies.append("no reply")
+            self.after_phase(run_id)
+
+    def end_request(self, run_id: str) -> None:
+        """Note that a request is over; a run that waits at a call ends."""
+        self.answered.add(run_id)
+        run = self.runs.get(run_id)
+        if run and run.waits_for:
+            self.kill(run)
+
+    def kill(self, run: Run) -> None:
+        """End a run at a call, as its request is over."""
+        run.waits_for = ""
+        run.ended = True
+        self.notice(f"outcome # {run.run_id} KILLED 0", b"")
+
     def after_phase(self, run_id: str) -> None:
         """Let a run do its next part of the work."""
         asyncio.get_running_loop().call_later(self.rng.uniform(*PHASE_S), self.end_phase, self.runs[run_id])
@@ -174,10 +198,10 @@
     def end_phase(self, run: Run) -> None:
         """Make the run's next call, or end it."""
         if len(run.replies) < CALLS:
-            if run.run_id in self.answered:  # ended at a call, as its request is over
-                run.ended = True
-                self.notice(f"outcome # {run.run_id} KILLED 0", b"")
+            if run.run_id in self.answered:
+                self.kill(run)
                 return
+            run.call_number = len(self.notices) + 1
             run.waits_for = f"call {len(run.replies) + 1} of {run.run_id}"
             self.notice(f"request # {run.run_id}", run.waits_for.encode())
         else:
@@ -266,7 +290,7 @@
         if not isinstance(id_, int) or id_ not in self.open:
             return
         call = self.open.pop(id_)
-        self.agent.answered.add(call)
+        self.agent.end_request(call)
         match message:
             case {"result": {"body": str(text)}}:
                 kind, said = "served", base64.b64decode(text).decode()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,21 +24,21 @@
 HERE = Path(__file__).resolve().parent
 ROOT = HERE.parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LOAD_S = 90.0  # seconds of load at most
-RATE = 800.0 if TROUBLE else 50.0  # consultations a second
+LOAD_S = 80.0  # seconds of load at most
+RATE = 400.0 if TROUBLE else 50.0  # consultations a second
 MAX_OPEN = 200  # consultations at a time
-MEMORY_MB = 128  # of the node: the pages give an app server 32 to 192 MB
+MEMORY_MB = 96  # of the node: the pages give an app server 32 to 192 MB
 MEMORY_POLL_S = 0.25
 DEADLINE_S = 8.8  # of the class
 STOP_S = 3.2  # from SIGTERM until the process is stopped
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 15.0
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 10, 2  # run.sh turns them into its own
 
 OPERATOR_FILE = """
 node "clearing-1" {{ cores 1.0; memory "{memory_mb}MB"; descriptors 1024; stop "{stop_ms}ms"; }}
 work {{
-    at-once 64
+    at-once 96
     memory "256MB"
     callers 4
     advice-most "1s"
@@ -48,7 +48,7 @@
 mapping "vendors" {{
     route "balance-check" method="GET" path="/balance/*"
 }}
-listen "auth" protocol="subrequest" address="127.0.0.1:{port}" mapping="vendors" verdict="500ms" lease="50ms"
+listen "auth" protocol="subrequest" address="127.0.0.1:{port}" mapping="vendors" verdict="500ms" lease="300ms"
 """
 
 
