--- a/shelfhaven/backends/agent.py
+++ b/shelfhaven/backends/agent.py
@@ -1,8 +1,9 @@
 """Actor for the persistent connection to the render farm agent.
 
-The actor tracks the number of the last notice that it read, and the commands whose effect is unknown. It
-sends only commands of the core, apart from a subscription and a gauge sample on each new connection. After a
-reconnect, it resends pending commands only once it has read all notices that the agent replays.
+The actor tracks the number of the last notice that it read; `agent_commands` tracks the commands whose
+effect is unknown.  The actor sends only commands of the core, apart from a subscription and a gauge sample on
+each new connection, and a sample before it leaves a connection for a new address.  After a reconnect, it
+recovers pending commands only once it has read all notices that the agent replays.
 """
 
 from __future__ import annotations
@@ -13,11 +14,13 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from enum import Enum
+from functools import partial
 from typing import TypeAlias
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from shelfhaven.backends.agent_commands import LOSS_WINDOW_S, CommandTracker, PendingCommand
 from shelfhaven.backends.failure_boundary import FailureBoundary
 from shelfhaven.config import Address
 from shelfhaven.decision.settings import Outcome
@@ -31,6 +34,8 @@
 MAX_BACKOFF = 0.5  # seconds; the delay doubles up to this
 CONNECT_TIMEOUT = 2.0  # seconds, after which a connection attempt is abandoned and repeated
 SAMPLE_TIMEOUT = 3.0  # seconds for the answer to a sample; ten times the longest pause of a machine
+SWITCH_TIMEOUT = 0.5  # seconds for the answer to the sample before a connection is left for a new address
+SWITCH_TAG = "switch"  # of that sample
 RESTART_MARGIN = 1.0  # seconds of tolerance for clock errors and delays in detecting a restart of the agent
 
 EventSink: TypeAlias = Callable[[messages.RunnerEvent], None]
@@ -56,12 +61,17 @@
             return wire.SampleGauges(message.tag)
 
 
-@dataclass(slots=True)
-class PendingCommand:
-    """A command to which no notice has responded yet, and how many times it was sent."""
+def _encode(item: PendingCommand | wire.SampleGauges) -> bytes:
+    return wire.encode_command(item.command if isinstance(item, PendingCommand) else item)
 
-    command: wire.RunCommand
-    times_sent: int
+
+class LinkState(Enum):
+    """State of the connection to the agent; commands are sent only while it is `UP`."""
+
+    DOWN = "down"  # no connection, or the agent has not greeted on it yet
+    REPLAYING = "replaying"  # the agent sends the notices that were missed
+    UP = "up"
+    SWITCHING = "switching"  # the address has changed; the commands sent so far are being confirmed
 
 
 class Agent:
@@ -70,14 +80,13 @@
     Attributes:
         address: address of the agent; None if there is no agent.
         stream: current connection.
-        outgoing: encoded commands that have not been written to the connection yet.
-        pending: commands to which no notice has responded since they were sent, by run ID.
+        outgoing: commands that have not been written to the connection yet.
+        commands: the commands that are not known to have been carried out.
         last_notice: number of the last notice that was read.
         connection_count: number of connections made so far.
         completed_replays: number of connections on which the replay of notices was completed.
-        replay_tag: tag of the sample whose answer marks the end of the replay on a new connection; empty if
-            no replay is in progress.
-        up: whether commands can be sent: the connection is open, and its replay of notices is complete.
+        replay_tag: tag of the sample whose answer marks the end of the replay; empty if there is no replay.
+        state: state of the connection.
         unanswered_since: time of the first sample since data was last received; None if there was none.
         subscribed_at: time at which the current connection subscribed to notices.
         first_greeted_at: time of the first greeting of the current incarnation of the agent.
@@ -91,31 +100,38 @@
         self.log = log
         self.mailbox: Mailbox[AgentMessage] = Mailbox(self._handle_message, log, self._flush)
         self.stream: IOStream | None = None
-        self.outgoing: list[bytes] = []
-        self.pending: dict[str, PendingCommand] = {}
+        self.outgoing: list[PendingCommand | wire.SampleGauges] = []
+        self.commands = CommandTracker()
         self.last_notice = 0
         self.connection_count = 0
         self.completed_replays = 0
         self.replay_tag = ""
-        self.up = False
+        self.state = LinkState.DOWN
         self.unanswered_since: float | None = None
         self.subscribed_at = 0.0
         self.first_greeted_at = math.inf
         self.ended = False
         self.reconnect = asyncio.Event()
 
+    @property
+    def up(self) -> bool:
+        """Whether commands can be sent: the connection is open, and its replay of notices is complete."""
+        return self.state is LinkState.UP
+
     def put(self, message: AgentMessage) -> None:
         """Queue a command."""
         self.mailbox.put(message)
 
     def set_address(self, address: Address | None) -> None:
         """Use another address from now on; runs and notice numbers are kept."""
-        if address != self.address:
-            self.address = address
-            self.reconnect.set()
-            if self.stream:
-                # The next connection replays the results of the last commands, or the commands are resent.
-                self.stream.close()
+        if address == self.address:
+            return
+        self.address = address
+        self.reconnect.set()
+        if self.state is LinkState.UP and self.stream:
+            self._begin_switch(self.stream)
+        elif self.state is not LinkState.SWITCHING and self.stream:
+            self.stream.close()
 
     def end(self) -> None:
         """Close the connection for good."""
@@ -127,11 +143,12 @@
     def _handle_message(self, message: AgentMessage) -> None:
         command = to_agent_command(message)
         if not isinstance(command, wire.SampleGauges):
-            self.pending[command.run_id] = PendingCommand(command, int(self.up))
-        if self.up:
-            self.outgoing.append(wire.encode_command(command))
-            if isinstance(command, wire.SampleGauges):
-                self._check_sample_timeout()
+            pending = self.commands.add(command)
+            if self.up:
+                self.outgoing.append(pending)
+        elif self.up:
+            self.outgoing.append(command)
+            self._check_sample_timeout()
 
     def _check_sample_timeout(self) -> None:
         """Close the connection if samples remain unanswered, as after a network failure that sends no FIN.
@@ -147,10 +164,40 @@
             self.stream.close()
 
     def _flush(self) -> None:
-        if self.outgoing and self.stream and not self.stream.closed():
-            data = b"".join(self.outgoing)
-            self.outgoing.clear()
-            self.stream.write(data)
+        """Write the outgoing commands and samples to the connection."""
+        if not self.outgoing or self.stream is None or self.stream.closed():
+            return
+        batch, self.outgoing = self.outgoing, []
+        commands = [item for item in batch if isinstance(item, PendingCommand)]
+        self.commands.written(commands)
+        now = time.monotonic()
+        for item in batch:
+            if isinstance(item, wire.SampleGauges):
+                self.commands.sample_sent(item.tag, now)
+        flush = self.stream.write(b"".join(_encode(item) for item in batch))
+        if flush.done():  # nearly always: the system's buffer has room
+            self._record_flush(commands, flush)
+        else:
+            flush.add_done_callback(partial(self._record_flush, commands))
+
+    def _record_flush(self, commands: list[PendingCommand], flush: asyncio.Future[None]) -> None:
+        if flush.exception() is None:
+            self.commands.flushed(commands, time.monotonic())
+
+    # Change of the address
+
+    def _begin_switch(self, stream: IOStream) -> None:
+        """Hold back new commands until those sent so far can be confirmed, then leave the connection."""
+        self.state = LinkState.SWITCHING
+        self.outgoing.clear()  # only samples are discarded; commands are still pending
+        asyncio.get_running_loop().call_later(LOSS_WINDOW_S, self._confirm_before_switch, stream)
+
+    def _confirm_before_switch(self, stream: IOStream) -> None:
+        if stream is not self.stream:
+            return  # the connection ended by itself
+        self.outgoing.append(wire.SampleGauges(SWITCH_TAG))
+        self._flush()
+        asyncio.get_running_loop().call_later(SWITCH_TIMEOUT, stream.close)
 
     # Connection
 
@@ -199,7 +246,7 @@
         parser = wire.NoticeParser()
         while True:
             # The agent may start long after this process, so there is no timeout before its greeting.
-            timeout = SAMPLE_TIMEOUT if self.replay_tag else None
+            timeout = SAMPLE_TIMEOUT if self.state is LinkState.REPLAYING else None
             data = await asyncio.wait_for(stream.read_bytes(READ_SIZE, partial=True), timeout)
             self.unanswered_since = None
             for notice in parser.feed(data):
@@ -211,12 +258,13 @@
             self.stream = None
         self.outgoing.clear()
         self.replay_tag = ""
+        self.commands.disconnected()
         self.unanswered_since = None
-        if self.up:
-            self.up = False
-            if not self.ended:
-                self.log.event("agent_link_down")
-                self.tell(messages.RunnerDisconnected())
+        was_up = self.state in (LinkState.UP, LinkState.SWITCHING)
+        self.state = LinkState.DOWN
+        if was_up and not self.ended:
+            self.log.event("agent_link_down")
+            self.tell(messages.RunnerDisconnected())
 
     # Notices
 
@@ -240,10 +288,10 @@
         self.last_notice = notice.number
         match notice:
             case wire.RunOutcome():
-                self.pending.pop(notice.run_id, None)
+                self.commands.remove(notice.run_id)
                 self._report_run_end(notice)
             case wire.CallRequested():
-                self.pending.pop(notice.run_id, None)
+                self.commands.remove(notice.run_id)
                 self.tell(messages.CallRequested(notice.run_id, notice.number, notice.body))
 
     def _report_run_end(self, ended: wire.RunOutcome) -> None:
@@ -257,6 +305,9 @@
 
     def _handle_greeting(self, greeting: wire.AgentGreeted) -> None:
         """Handle the greeting: send a sample, whose answer follows all notices that the agent replays."""
+        if self.state is not LinkState.DOWN:
+            self.log.event("agent_greeted_again")
+            return
         now = time.monotonic()
         # Based on the time of the subscription, not of reading the greeting: a delay of the event loop must
         # not look like a restart of the agent.
@@ -267,36 +318,46 @@
         self.first_greeted_at = min(self.first_greeted_at, now)
         self.log.event("agent_up", loaded=greeting.loaded, since_ms=greeting.uptime_ms)
         self.tell(messages.RunnerConnected(greeting.loaded, greeting.uptime_ms / 1000))
+        self.state = LinkState.REPLAYING
         self.replay_tag = f"link{self.connection_count}"
-        self.outgoing.append(wire.encode_command(wire.SampleGauges(self.replay_tag)))
+        self.outgoing.append(wire.SampleGauges(self.replay_tag))
         self._flush()
 
     def _handle_restart(self) -> None:
         """Handle a new incarnation of the agent: its runs are lost, and its notice numbers start again."""
-        self.pending.clear()
+        self.commands.clear()
         self.last_notice = 0
         self.log.event("agent_restarted")
         self.tell(messages.RunsLost(self))
 
     def _handle_sample(self, sampled: wire.GaugesSampled) -> None:
+        self.commands.sample_answered(sampled.tag)
         if sampled.tag == self.replay_tag:
             self._finish_replay()
+        elif sampled.tag == SWITCH_TAG:
+            if self.stream:
+                self.stream.close()  # the next connection goes to the new address
         else:
             self.tell(messages.GaugesSampled(sampled.tag, sampled.values))
 
     def _finish_replay(self) -> None:
-        """Handle the end of the replay: resend the commands whose effect is still unknown."""
+        """Handle the end of the replay: recover the commands whose effect is still unknown."""
+        self.state = LinkState.UP
         self.replay_tag = ""
-        self.up = True
         self.completed_replays += 1
-        for pending in self.pending.values():
-            pending.times_sent += 1
-            self.outgoing.append(wire.encode_command(pending.command))
+        recovery = self.commands.recover()
+        if recovery.resend or recovery.unconfirmed_replies:
+            self.log.event(
+                "agent_recovered", resent=len(recovery.resend), unconfirmed=len(recovery.unconfirmed_replies)
+            )
+        self.outgoing += recovery.resend
+        for run_id in recovery.unconfirmed_replies:
+            self.tell(messages.CallReplyUnconfirmed(run_id))
         self._flush()
 
     def _handle_malformed_line(self, notice: wire.MalformedLine) -> None:
         """Handle a command that the agent could not parse."""
-        self.pending.pop(notice.run_id, None)  # resending a launch could repeat a run that has ended
+        self.commands.remove(notice.run_id)  # resending a launch could repeat a run that has ended
         self.log.event("agent_malformed", line=notice.line)
         if notice.run_id:
             self.tell(messages.RunCompleted(notice.run_id, Outcome.ERROR, 0.0))
@@ -304,11 +365,11 @@
     def _handle_rejection(self, rejection: wire.CommandRejected) -> None:
         """Handle a command that the agent rejected.
 
-        A rejected launch never ran, since the agent would otherwise know the run. Any other command that is
-        rejected when it is resent was carried out the first time, and its notices will follow.
+        A rejected launch never ran, since the agent would otherwise know the run.  Any other command that is
+        rejected when it may be a repetition was carried out the first time, and its notices will follow.
         """
-        pending = self.pending.pop(rejection.run_id, None)
-        if pending and (pending.times_sent < 2 or isinstance(pending.command, wire.LaunchRun)):
+        pending = self.commands.remove(rejection.run_id)
+        if pending and (not pending.may_repeat or isinstance(pending.command, wire.LaunchRun)):
             self.log.event("agent_refused", command=rejection.command, call=rejection.run_id)
             never_ran = rejection.command == "launch"
             outcome = Outcome.ABANDONED if never_ran else Outcome.ERROR
--- a/shelfhaven/decision/controller.py
+++ b/shelfhaven/decision/controller.py
@@ -30,7 +30,7 @@
 from shelfhaven.decision.request_lifecycle import RequestLifecycle
 from shelfhaven.decision.server_state import ServerState
 from shelfhaven.decision.settings import Outcome, Settings
-from shelfhaven.decision.timer_tokens import TICK_TOKEN, is_call_retry, request_id_of
+from shelfhaven.decision.timer_tokens import TICK_TOKEN, is_call_retry, is_progress_check, request_id_of
 
 # Outcomes of a run that never started: no backend had capacity for it, or none could be reached.
 RUN_NEVER_STARTED = (Outcome.REJECTED, Outcome.CONNECT_FAILED)
@@ -154,7 +154,9 @@
         request = self._requests.by_id.get(request_id_of(event.token))
         if request is None:
             return
-        if is_call_retry(event.token):
+        if is_progress_check(event.token):
+            self._lifecycle.check_progress(now, request)
+        elif is_call_retry(event.token):
             if request.state is RequestState.CALL_NEEDED:
                 self._lifecycle.try_call(now, request)
         elif now >= self._give_up_at(request) - self.settings.tick:
@@ -194,6 +196,8 @@
                 self._lifecycle.begin_call(now, request)
             case events.CallFinished() if request.state is RequestState.CALLING:
                 self._handle_call_finished(now, request, event)
+            case events.CallReplyUnconfirmed() if request.state is RequestState.RUNNING:
+                self._lifecycle.reply_unconfirmed(now, request)
             case events.RequestCancelled():
                 self._lifecycle.abandon(now, request)
 
--- a/shelfhaven/decision/downstream.py
+++ b/shelfhaven/decision/downstream.py
@@ -32,6 +32,10 @@
 # Fraction of the mean run time that remains after the call.
 RUN_FRACTION_AFTER_CALL = 0.5
 
+# Multiple of its usual time after which a run that may not have got the reply to its call is taken to wait
+# for it in vain.  The rest of a run is only a part of it, but run times vary.
+PROGRESS_RUN_MULTIPLE = 2.0
+
 # Seconds before retrying a call that is known not to have run, as each attempt costs work downstream.
 CALL_BACKOFF_S = 0.3
 
@@ -109,6 +113,11 @@
         limit = max(usual_limit, request.objective_at - now - remaining_run)
         return min(request.due_at - now, limit) or None
 
+    def progress_time(self, request: Request) -> float:
+        """Return the time within which a run that got the reply to its call should end or call again."""
+        class_mean = self._run_estimates.run_means[request.class_index]
+        return PROGRESS_RUN_MULTIPLE * max(class_mean, self._run_estimates.expected_run(request))
+
     def record(self, now: float, event: CallFinished) -> None:
         """Add a finished call to the statistics.
 
--- a/shelfhaven/decision/events.py
+++ b/shelfhaven/decision/events.py
@@ -74,6 +74,16 @@
     duration: float
 
 
+@dataclass(frozen=True, slots=True)
+class CallReplyUnconfirmed:
+    """The reply to a call may not have reached its run, which may thus still wait for it.
+
+    The reply cannot be sent again, as the run may have got it and may wait for the reply to its next call.
+    """
+
+    request_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestCancelled:
     """The caller has stopped waiting; the request needs no answer any more."""
@@ -102,6 +112,7 @@
     | RunFinished
     | CallNeeded
     | CallFinished
+    | CallReplyUnconfirmed
     | RequestCancelled
     | DrainStarted
     | TimerFired
--- a/shelfhaven/decision/request.py
+++ b/shelfhaven/decision/request.py
@@ -52,6 +52,7 @@
         "objective_at",
         "original_id",
         "priority_weight",
+        "progress_due_at",
         "read_at",
         "settings",
         "start_by",
@@ -84,6 +85,7 @@
         start_within = positive_or_none(event.start_within)
         self.start_by = math.inf if start_within is None else now + start_within
         self.due_at = math.inf  # latest time for its answer
+        self.progress_due_at = math.inf  # latest time for a sign that its run got the reply to its call
         self.objective_at = math.inf  # an answer by then earns the full weight
 
     def set_times(
--- a/shelfhaven/decision/request_lifecycle.py
+++ b/shelfhaven/decision/request_lifecycle.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from shelfhaven.decision.actions import (
     Action,
     AnswerFromOriginal,
@@ -23,7 +25,7 @@
 from shelfhaven.decision.request import Request, RequestState
 from shelfhaven.decision.server_state import ServerState
 from shelfhaven.decision.settings import CancelMode, Outcome, RetrySafety
-from shelfhaven.decision.timer_tokens import call_retry_token
+from shelfhaven.decision.timer_tokens import call_retry_token, progress_token
 
 
 class RequestLifecycle:
@@ -109,6 +111,7 @@
 
     def begin_call(self, now: float, request: Request) -> None:
         """Take a running request off the cores and place its downstream call if possible."""
+        request.progress_due_at = math.inf
         self._requests.transition(now, request, RequestState.CALL_NEEDED)
         self.try_call(now, request)
 
@@ -128,6 +131,26 @@
             step = self._downstream.step_after_failure(now, request, outcome)
             self._apply_call_step(now, request, step)
 
+    def reply_unconfirmed(self, now: float, request: Request) -> None:
+        """Handle a run that may still wait for its call's reply, which cannot be sent again.
+
+        Its call is skipped if possible: that names the call, so nothing happens if the run got the reply.
+        Otherwise the request is given up unless its run gives a sign of progress in the usual time.
+        """
+        if request.answered:
+            return
+        if request.settings.weight_without_call > 0:
+            self.actions.append(SkipCall(request.id))
+            return
+        progress_time = self._downstream.progress_time(request)
+        request.progress_due_at = now + progress_time
+        self.actions.append(SetTimer(progress_time, progress_token(request.id), request.id))
+
+    def check_progress(self, now: float, request: Request) -> None:
+        """Give up a request whose run has shown no progress since the reply to its call went astray."""
+        if now >= request.progress_due_at - self._settings.tick:
+            self.give_up(now, request)
+
     def reject(
         self, now: float, request: Request, no_retry_elsewhere: bool, min_retry_after: float = 0.0
     ) -> None:
--- a/shelfhaven/server/event_translation.py
+++ b/shelfhaven/server/event_translation.py
@@ -10,7 +10,14 @@
 from typing import TypeAlias
 
 from shelfhaven.config import Config
-from shelfhaven.decision.events import CallFinished, CallNeeded, Event, RequestArrived, RequestCancelled
+from shelfhaven.decision.events import (
+    CallFinished,
+    CallNeeded,
+    CallReplyUnconfirmed,
+    Event,
+    RequestArrived,
+    RequestCancelled,
+)
 from shelfhaven.decision.settings import Outcome
 from shelfhaven.server import messages
 from shelfhaven.server.actors import ConnectedActors
@@ -26,6 +33,7 @@
     | messages.CancelRequest
     | messages.RunCompleted
     | messages.CallRequested
+    | messages.CallReplyUnconfirmed
     | messages.RunsLost
     | messages.CallCompleted
     | messages.StoreReply
@@ -70,6 +78,8 @@
                     self.completion.complete_run(request, message)
             case messages.CallRequested():
                 self._request_call(message)
+            case messages.CallReplyUnconfirmed():
+                self._reopen_call(message)
             case messages.RunsLost():
                 self._fail_lost_runs(message.runner)
             case messages.CallCompleted():
@@ -143,6 +153,13 @@
         duration = self.clocks.monotonic() - request.wait_started_at
         self.emit(CallFinished(request.id, completed.outcome, duration))
 
+    def _reopen_call(self, unconfirmed: messages.CallReplyUnconfirmed) -> None:
+        request = self.requests.get_started(unconfirmed.attempt_id)
+        if request is None or request.work_state is not WorkState.RUNNING:
+            return
+        request.reopen_call()
+        self.emit(CallReplyUnconfirmed(request.id))
+
     def _fail_lost_runs(self, runner: messages.Runner) -> None:
         for request in self.requests.all_started():
             if self.actors.runner_of(request) is runner:
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -234,6 +234,13 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class CallReplyUnconfirmed:
+    """The reply that was last delivered to a run may have been lost on the way, and is not sent again."""
+
+    attempt_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class GaugesSampled:
     """A sample of the gauges."""
@@ -255,7 +262,13 @@
 
 
 RunnerEvent: TypeAlias = (
-    RunnerConnected | RunCompleted | CallRequested | GaugesSampled | RunnerDisconnected | RunsLost
+    RunnerConnected
+    | RunCompleted
+    | CallRequested
+    | CallReplyUnconfirmed
+    | GaugesSampled
+    | RunnerDisconnected
+    | RunsLost
 )
 
 
--- a/shelfhaven/server/request.py
+++ b/shelfhaven/server/request.py
@@ -173,6 +173,10 @@
         """Mark the downstream call as failed; the controller decides whether to place it again."""
         self.work_state = WorkState.CALL_REQUESTED
 
+    def reopen_call(self) -> None:
+        """Mark the run as possibly still waiting for its call, whose reply may have been lost on the way."""
+        self.work_state = WorkState.CALL_REQUESTED
+
     def resume_run(self) -> None:
         """Mark the run as running again, with or without a reply to its call."""
         self.work_state = WorkState.RUNNING
