--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -144,6 +144,7 @@
     """One consultation; the core sees it as a frontend, the proxy runner as a running consultation.
 
     Attributes:
+        sends_body: whether a proxy sends the body of a request that has an idempotency key.
         attempt_id: the random id by which the core and the proxy runner refer to it.
         verdict: resolves to the encoded verdict; created when the request is submitted to the core.
         lease_timer: ends the run if the proxy does not report its end in time.
@@ -151,6 +152,8 @@
         submission: the request to the core, once the proxy's request has been mapped.
     """
 
+    sends_body = True
+
     def __init__(self, listener: ProxyListener, peer: str) -> None:
         self.listener = listener
         self.peer = peer
@@ -233,6 +236,7 @@
             idempotency_key=mapped.idempotency_key,
             partition_key=mapped.partition_key,
             body=b"",
+            body_known=self.sends_body,
             attributes=messages.RequestAttributes(
                 variables["REQUEST_METHOD"],
                 variables["PATH_INFO"],
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -49,6 +49,8 @@
         headers: headers of the response, except those that `SubrequestListener` adds.
     """
 
+    sends_body = False
+
     def __init__(self, listener: ProxyListener, peer: str, request: HTTPServerRequest) -> None:
         super().__init__(listener, peer)
         self.request = request
--- a/shelfhaven/server/event_translation.py
+++ b/shelfhaven/server/event_translation.py
@@ -22,7 +22,7 @@
 from shelfhaven.server import messages
 from shelfhaven.server.actors import ConnectedActors
 from shelfhaven.server.clocks import Clocks
-from shelfhaven.server.request import Request, WorkState, content_digest
+from shelfhaven.server.request import Request, WorkState, request_content
 from shelfhaven.server.request_completion import RequestCompletion
 from shelfhaven.server.run_launcher import RunLauncher
 
@@ -97,9 +97,9 @@
         class_settings = self.config.settings.classes[submission.class_index]
         request = Request(request_id, submission, class_settings)
         if submission.idempotency_key:
-            request.content_digest = content_digest(submission)
+            request.content = request_content(submission)
         age = max(0.0, self.clocks.wall() - submission.received_at)
-        request.original_id = self.keys.find_original(request, self.clocks.monotonic() - age)
+        self.keys.find_original(request, self.clocks.monotonic() - age)
         self.requests.add(request)
         self.emit(self._arrival(request, age))
 
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -16,7 +16,13 @@
 from shelfhaven.server.actors import KeyStore
 from shelfhaven.server.clocks import Clocks
 from shelfhaven.server.key_table import KeyEntry, KeyTable
-from shelfhaven.server.request import DIGEST_BYTES, NEVER_STARTED_OUTCOMES, Request, RequestKey
+from shelfhaven.server.request import (
+    DIGEST_BYTES,
+    NEVER_STARTED_OUTCOMES,
+    Request,
+    RequestKey,
+    content_digest,
+)
 from shelfhaven.server.request_table import RequestTable
 from shelfhaven.server.result_store import ResultStore
 
@@ -44,20 +50,31 @@
 
     # Originals and duplicates
 
-    def find_original(self, request: Request, reached_at: float) -> int | None:
-        """Return the id of the attempt that holds the request's key, None if the request is no duplicate.
+    def find_original(self, request: Request, reached_at: float) -> None:
+        """Set the original of a request that is a duplicate: the attempt that holds its key.
 
-        `reached_at` is the monotonic time at which the request reached this machine.
+        `reached_at` is the monotonic time at which the request reached this machine.  A request that may be a
+        duplicate of more than one attempt must neither run nor get the result of either: its original is an
+        id that no attempt has, so it fails.
         """
         if not request.runs_once_per_key:
-            return None
-        entry = self.table.get(request.key)
-        if entry is None and self.store:
+            return
+        candidates = [key for key in self.table.find(request.key) if self._is_valid(key, reached_at)]
+        if not candidates and self.store and request.key not in self.table:
             entry = self._restore_from_store(request, self.store)
-        if entry is None:
-            return None
-        is_duplicate = reached_at < entry.valid_until or self.requests.has_unfinished(entry.request_id)
-        return entry.request_id if is_duplicate else None
+            candidates = [request.key] if entry and self._is_valid(request.key, reached_at) else []
+        if request.key in candidates:
+            candidates = [request.key]
+        if len(candidates) == 1:
+            request.original_key = candidates[0]
+            request.original_id = self.table.entries[candidates[0]].request_id
+        elif candidates:
+            request.original_id = self.next_request_id()
+
+    def _is_valid(self, key: RequestKey, reached_at: float) -> bool:
+        """Whether an attempt that reached this machine at this time is a duplicate of the key's holder."""
+        entry = self.table.entries[key]
+        return reached_at < entry.valid_until or self.requests.has_unfinished(entry.request_id)
 
     def retain(self, request: Request, ttl: float) -> None:
         """Add a table entry that makes the request the original of its key."""
@@ -84,7 +101,9 @@
 
     def result_for(self, duplicate: Request) -> bytes | None:
         """Return the result of a duplicate's original, None if it is not in the table."""
-        return self.table.get_result(duplicate.key, duplicate.original_id)
+        if duplicate.original_key is None:
+            return None
+        return self.table.get_result(duplicate.original_key, duplicate.original_id)
 
     def report_uncertain(self, request: Request) -> None:
         """Report the key of a failed request as uncertain: its run may have had its effect."""
@@ -125,8 +144,10 @@
 
     def fetch_previous_result(self, duplicate: Request) -> bool:
         """Fetch the result of a previous incarnation's run; return whether `StoredResultFetched` follows."""
-        entry = self.table.get_if_held_by(duplicate.key, duplicate.original_id)
-        if entry is None or not entry.stored_digest or not self.store:
+        if duplicate.original_key is None or not self.store:
+            return False
+        entry = self.table.get_if_held_by(duplicate.original_key, duplicate.original_id)
+        if entry is None or not entry.stored_digest:
             return False
         self.store.fetch_result(duplicate.id, entry.stored_digest)
         return True
@@ -139,7 +160,7 @@
             class_name, tenant = self.config.classes[submission.class_index], self._tenant_name(submission)
             for text in (class_name, tenant, submission.idempotency_key):
                 digest.update(b"%d\0%b" % (len(text), text.encode()))
-            digest.update(request.content_digest)
+            digest.update(content_digest(submission))
             request.key_digest = digest.digest()
         return request.key_digest
 
@@ -192,7 +213,7 @@
         )
 
     def _deadline_of(self, key: RequestKey) -> float:
-        return self.config.settings.classes[key.class_index].deadline
+        return self.config.settings.classes[key.name.class_index].deadline
 
     def _tenant_name(self, submission: messages.SubmitRequest) -> str:
         names = self.config.tenants
--- a/shelfhaven/server/key_table.py
+++ b/shelfhaven/server/key_table.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from shelfhaven.server.request import RequestKey
+from shelfhaven.server.request import KeyName, RequestKey
 from shelfhaven.server.result_store import ResultStore
 
 
@@ -34,6 +34,8 @@
     def __init__(self, results: ResultStore) -> None:
         self.results = results
         self.entries: dict[RequestKey, KeyEntry] = {}
+        # the keys of the entries by name, and by the digest of the body (None: unknown)
+        self._keys_by_name: dict[KeyName, dict[bytes | None, set[RequestKey]]] = {}
         # heap of removal times; an entry that was replaced or extended has several
         self.expirations: list[tuple[float, RequestKey]] = []
 
@@ -47,6 +49,23 @@
         """Return the entry of a key, None if there is none."""
         return self.entries.get(key)
 
+    def find(self, key: RequestKey) -> list[RequestKey]:
+        """Return the keys of the entries that may be of the same request as this key.
+
+        Attempts by different protocols convey different parts of a request's content, so there may be
+        several, of which only one can be the same request.
+        """
+        by_body = self._keys_by_name.get(key.name)
+        if by_body is None:
+            return []
+        bodies = by_body.keys() if key.content.body is None else (key.content.body, None)
+        return [
+            candidate
+            for body in bodies
+            for candidate in by_body.get(body, ())
+            if candidate.content.may_equal(key.content)
+        ]
+
     def get_if_held_by(self, key: RequestKey, request_id: int | None) -> KeyEntry | None:
         """Return the entry of a key, None if another attempt or none holds the key."""
         entry = self.entries.get(key)
@@ -56,12 +75,22 @@
         """Add the entry of a key; an earlier entry is removed together with its result."""
         self.remove(key)
         self.entries[key] = entry
+        by_body = self._keys_by_name.setdefault(key.name, {})
+        by_body.setdefault(key.content.body, set()).add(key)
         heapq.heappush(self.expirations, (entry.forget_at, key))
 
     def remove(self, key: RequestKey) -> None:
         """Remove a key and its result."""
         self.results.remove(key)
-        self.entries.pop(key, None)
+        if self.entries.pop(key, None) is None:
+            return
+        by_body = self._keys_by_name[key.name]
+        same_body = by_body[key.content.body]
+        same_body.discard(key)
+        if not same_body:
+            del by_body[key.content.body]
+        if not by_body:
+            del self._keys_by_name[key.name]
 
     def store_result(self, key: RequestKey, request_id: int, body: bytes) -> None:
         """Store the result of a run, if that attempt holds the key.
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -112,7 +112,8 @@
     idempotency_key: str  # empty if there is none
     partition_key: int  # of the data that the request concerns; 0 if there is none
     body: bytes
-    attributes: RequestAttributes | None = None
+    attributes: RequestAttributes | None = None  # None if the protocol has no paths and queries
+    body_known: bool = True  # False if the caller asks about a request without sending its body
     start_within: float | None = None  # seconds from `received_at` within which the run must start
     runner: Runner | None = None  # None stands for the runner of the class
 
--- a/shelfhaven/server/request.py
+++ b/shelfhaven/server/request.py
@@ -45,21 +45,67 @@
 STARTED_STATES = (WorkState.RUNNING, WorkState.CALL_REQUESTED, WorkState.CALLING)
 
 
-class RequestKey(NamedTuple):
-    """What all attempts of one request have in common.
+class RequestContent(NamedTuple):
+    """Digests of what a request asks for, as far as the protocol of its attempt conveys it.
 
-    An attempt of another tenant, or with other content, belongs to another request, even if it has the same
-    idempotency key.
+    Attributes:
+        body: digest of the body; None if the attempt came without its request's body.
+        location: digest of the path and query parts that distinguish requests with one key; None if the
+            protocol has neither path nor query.
     """
 
+    body: bytes | None
+    location: bytes | None
+
+    def may_equal(self, other: RequestContent) -> bool:
+        """Whether both may be the content of one request: nothing that both convey differs."""
+        return _may_equal(self.body, other.body) and _may_equal(self.location, other.location)
+
+
+NO_CONTENT = RequestContent(None, None)
+
+
+def _may_equal(first: bytes | None, second: bytes | None) -> bool:
+    return first is None or second is None or first == second
+
+
+class KeyName(NamedTuple):
+    """An idempotency key, which belongs to a class and a tenant."""
+
     class_index: int
     tenant: int
     idempotency_key: str
-    content_digest: bytes
+
+
+class RequestKey(NamedTuple):
+    """What all attempts of one request by one protocol have in common.
+
+    An attempt of another tenant, or with other content, belongs to another request, even if it has the same
+    idempotency key.  Attempts by another protocol may convey less of the content or more.
+    """
+
+    name: KeyName
+    content: RequestContent
+
+
+def request_content(submission: messages.SubmitRequest) -> RequestContent:
+    """Return the digests of a submission's content."""
+    body = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES).digest()
+    location = None
+    if submission.attributes:
+        location = _location_digest(submission.attributes.identity_parts)
+    return RequestContent(body if submission.body_known else None, location)
+
+
+def _location_digest(identity_parts: tuple[str, ...]) -> bytes:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in identity_parts:
+        digest.update(b"%d\0%b" % (len(text), text.encode()))
+    return digest.digest()
 
 
 def content_digest(submission: messages.SubmitRequest) -> bytes:
-    """Return a digest of the body and of the path and query parts that distinguish requests with one key."""
+    """Return a digest of the body and of the path and query parts, for keys outside of this process."""
     digest = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES)
     for text in submission.attributes.identity_parts if submission.attributes else ():
         digest.update(b"\0%d\0%b" % (len(text), text.encode()))
@@ -71,10 +117,11 @@
     """One attempt, from its arrival until it is answered and its work is finished.
 
     Attributes:
-        content_digest: empty without an idempotency key.
+        content: empty without an idempotency key.
         launched: a runner was told to run the request and has not reported that the run never started.
         wait_started_at: when the request began to wait for its original or for its downstream call.
         original_id: the attempt of which this one is a duplicate.
+        original_key: the key by which the table holds that attempt.
         may_run_elsewhere: the caller cancelled the request and may still have it run elsewhere.
         call_number: the runner's number of the downstream call that the run waits for.
         key_digest: identifies the idempotency key in the whole fleet and in the key store; cached.
@@ -85,12 +132,13 @@
     id: int
     submission: messages.SubmitRequest
     class_settings: ClassSettings
-    content_digest: bytes = b""
+    content: RequestContent = NO_CONTENT
     answer_state: AnswerState = AnswerState.PENDING
     work_state: WorkState = WorkState.QUEUED
     launched: bool = False
     wait_started_at: float = 0.0
     original_id: int | None = None
+    original_key: RequestKey | None = None
     may_run_elsewhere: bool = False
     call_number: int = 0
     call_body: bytes = b""
@@ -101,11 +149,10 @@
 
     @property
     def key(self) -> RequestKey:
-        """What this attempt has in common with the other attempts of its request."""
+        """What this attempt has in common with the other attempts of its request by its protocol."""
         submission = self.submission
-        return RequestKey(
-            submission.class_index, submission.tenant, submission.idempotency_key, self.content_digest
-        )
+        name = KeyName(submission.class_index, submission.tenant, submission.idempotency_key)
+        return RequestKey(name, self.content)
 
     @property
     def runs_once_per_key(self) -> bool:
--- a/tests/frontends/test_shared_idempotency_keys.py
+++ b/tests/frontends/test_shared_idempotency_keys.py
@@ -43,6 +43,24 @@
     run_async(check)
 
 
+@pytest.mark.parametrize("first", ["uwsgi", "jsonrpc"])
+def test_a_topup_whose_url_has_a_query_and_its_repeat_over_json_rpc_run_once(first: str) -> None:
+    # guards against an effect that happens twice (docs/incidents/repeat-by-another-protocol.md)
+    async def check() -> None:
+        async with running_node() as node:
+            router = await node.connect_router()
+            if first == "jsonrpc":
+                node.send_topup(router, 1, "k")
+                await router.answer(1)
+            reply = await node.topup("k", QUERY_STRING="channel=ussd")
+            assert reply.body == b"made for five"
+            node.send_topup(router, 2, "k")
+            assert result_body(await router.answer(2)) == b"made for five"
+            assert node.run_count(b"five") == 1
+
+    run_async(check)
+
+
 def test_a_duplicate_of_a_request_whose_result_was_evicted_fails_and_is_not_run() -> None:
     async def check() -> None:
         async with running_node() as node:
--- a/tests/server/test_core_durability.py
+++ b/tests/server/test_core_durability.py
@@ -162,7 +162,8 @@
     harness.submit(1, PAY, "k")
     digest = store.intents[0][1].digest
     harness.send(messages.IntentRecorded(store.intents[0][0], False, 1.0))
-    harness.core.keys.table.entries.clear()  # as in a new incarnation
+    for key in list(harness.core.keys.table.entries):  # as in a new incarnation
+        harness.core.keys.table.remove(key)
     store.previous[digest] = 5.0
     for request_ref in (2, 3):
         harness.submit(request_ref, PAY, "k")
--- a/tests/server/test_core_keys.py
+++ b/tests/server/test_core_keys.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from shelfhaven.decision.settings import Outcome
@@ -171,6 +173,86 @@
     assert harness.launched_attempts() == [*attempt_ids, without_parts[0]]  # the second is a duplicate
 
 
+def uwsgi_attributes(*identity_parts: str) -> messages.RequestAttributes:
+    """Return the attributes of an attempt by a protocol with paths and queries."""
+    return messages.RequestAttributes("POST", "/topup", "", "", identity_parts=identity_parts)
+
+
+# Changes of an attempt's fields, by the protocol and URL that it comes with.
+PROTOCOLS: dict[str, dict[str, Any]] = {
+    "jsonrpc": {},
+    "uwsgi with a query": {"attributes": uwsgi_attributes("channel=ussd")},
+    "uwsgi without a query": {"attributes": uwsgi_attributes()},
+    "subrequest": {"attributes": uwsgi_attributes("channel=ussd"), "body": b"", "body_known": False},
+}
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        ("jsonrpc", "uwsgi with a query"),
+        ("uwsgi with a query", "jsonrpc"),
+        ("uwsgi without a query", "jsonrpc"),
+        ("uwsgi with a query", "subrequest"),
+        ("subrequest", "uwsgi with a query"),
+        ("subrequest", "jsonrpc"),
+    ],
+)
+@with_harness
+def test_a_repeat_by_a_protocol_that_conveys_less_or_more_does_not_run_again(
+    harness: CoreHarness, first: str, second: str
+) -> None:
+    # guards against an effect that happens twice (docs/incidents/repeat-by-another-protocol.md)
+    attempt_id = harness.submit(1, PAY, "k", **PROTOCOLS[first])
+    harness.submit(2, PAY, "k", **PROTOCOLS[second])  # while the first runs
+    harness.finish_run(attempt_id)
+    harness.submit(3, PAY, "k", **PROTOCOLS[second])  # after it
+    assert harness.launched_attempts() == [attempt_id]
+    assert [answer.body for number in (1, 2, 3) for answer in harness.answers(number)] == [b"result"] * 3
+
+
+@with_harness
+def test_requests_that_differ_in_what_both_attempts_convey_all_run(harness: CoreHarness) -> None:
+    attempt_ids = [
+        harness.submit(1, PAY, "k", attributes=uwsgi_attributes("channel=ussd")),
+        harness.submit(2, PAY, "k", attributes=uwsgi_attributes("channel=app")),
+    ]
+    for attempt_id in attempt_ids:
+        harness.finish_run(attempt_id, body=attempt_id.encode())
+    other_body = harness.submit(3, PAY, "k", body=b"other")
+    assert harness.launched_attempts() == [*attempt_ids, other_body]
+    assert [harness.answers(number)[0].body for number in (1, 2)] == [id_.encode() for id_ in attempt_ids]
+
+
+@with_harness
+def test_a_repeat_of_one_of_two_requests_fails_if_it_cannot_tell_which(harness: CoreHarness) -> None:
+    attempt_ids = [
+        harness.submit(number, PAY, "k", attributes=uwsgi_attributes(str(number))) for number in (1, 2)
+    ]
+    harness.submit(3, PAY, "k")  # while both run
+    for attempt_id in attempt_ids:
+        harness.finish_run(attempt_id)
+    harness.submit(4, PAY, "k")  # after them
+    assert harness.launched_attempts() == attempt_ids
+    for number in (3, 4):
+        assert [type(answer) for answer in harness.answers(number)] == [messages.FailedAnswer]
+    harness.submit(5, PAY, "k", attributes=uwsgi_attributes("2"))
+    assert [type(answer) for answer in harness.answers(5)] == [messages.ServedAnswer]
+
+
+@with_harness
+def test_a_repeat_by_another_protocol_runs_after_the_ttl_or_if_the_first_never_ran(
+    harness: CoreHarness,
+) -> None:
+    first = harness.submit(1, PAY, "k", attributes=uwsgi_attributes("channel=ussd"))
+    harness.send(messages.RunCompleted(first, Outcome.REJECTED, 0.0))
+    second = harness.submit(2, PAY, "k")
+    harness.finish_run(second)
+    harness.advance_time(5.0)  # the TTL is over
+    third = harness.submit(3, PAY, "k", attributes=uwsgi_attributes("channel=ussd"))
+    assert harness.launched_attempts() == [first, second, third]
+
+
 @pytest.mark.parametrize("launched", [False, True])
 @with_harness
 def test_a_key_that_may_have_run_elsewhere_is_not_run_within_its_ttl(
--- a/tests/server/test_key_table.py
+++ b/tests/server/test_key_table.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from shelfhaven.server.key_table import KeyEntry, KeyTable
-from shelfhaven.server.request import RequestKey
+from shelfhaven.server.request import KeyName, RequestContent, RequestKey
 from shelfhaven.server.result_store import ResultStore
 
-FIRST, SECOND = RequestKey(0, 0, "first", b""), RequestKey(0, 0, "second", b"")
+
+def key(name: str, body: bytes | None = b"", location: bytes | None = None) -> RequestKey:
+    return RequestKey(KeyName(0, 0, name), RequestContent(body, location))
+
+
+FIRST, SECOND = key("first"), key("second")
 
 
 def _table(capacity_bytes: int = 100) -> KeyTable:
@@ -87,10 +93,45 @@
 def test_the_size_counts_all_bodies_and_stays_within_the_capacity(steps: list[tuple[str, int, int]]) -> None:
     results = ResultStore(10)
     for step, number, size in steps:
-        key = RequestKey(0, 0, str(number), b"")
+        numbered = key(str(number))
         if step == "remove":
-            results.remove(key)
-        elif results.get(key) is None:
-            results.put(key, b"x" * size)
+            results.remove(numbered)
+        elif results.get(numbered) is None:
+            results.put(numbered, b"x" * size)
         assert results.size_bytes == sum(len(body) for body in results.bodies.values())
         assert results.size_bytes <= results.capacity_bytes
+
+
+@pytest.mark.parametrize(
+    ("held", "asked", "found"),
+    [
+        (key("k", b"body", b"query"), key("k", b"body", None), True),
+        (key("k", b"body", None), key("k", b"body", b"query"), True),
+        (key("k", None, b"query"), key("k", b"body", b"query"), True),
+        (key("k", b"body", b"query"), key("k", None, None), True),
+        (key("k", b"body", b"query"), key("k", b"body", b"other"), False),
+        (key("k", b"body", None), key("k", b"other", None), False),
+        (key("k", None, b"query"), key("k", b"body", b"other"), False),
+        (key("k", b"body", None), key("other", b"body", None), False),
+    ],
+)
+def test_entries_are_found_unless_something_that_both_attempts_convey_differs(
+    held: RequestKey, asked: RequestKey, found: bool
+) -> None:
+    table = _table()
+    table.put(held, KeyEntry(1, 10.0, 12.0))
+    assert table.find(asked) == ([held] if found else [])
+    _expire(table, 12.0)
+    assert table.find(asked) == []
+    assert not table._keys_by_name
+
+
+def test_all_entries_that_may_be_of_one_request_are_found() -> None:
+    table = _table()
+    held = [key("k", b"body", b"1"), key("k", b"body", b"2"), key("k", b"other", b"1")]
+    for number, item in enumerate(held):
+        table.put(item, KeyEntry(number, 10.0, 12.0))
+    assert set(table.find(key("k", b"body", None))) == set(held[:2])
+    assert set(table.find(key("k", None, b"1"))) == {held[0], held[2]}
+    table.remove(held[0])
+    assert table.find(key("k", b"body", None)) == [held[1]]
