--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -207,8 +207,7 @@
     def closed(self) -> None:
         """Handle the end of the consultation by the proxy."""
         self._execute(self.consultation.closed(time.monotonic()))
-        self.listener.runner.consultations.pop(self.attempt_id, None)
-        self._cancel_lease()
+        self._release()
 
     def _map_request(self, variables: Mapping[str, str]) -> None:
         """Map the request's variables to a request to the core.
@@ -276,7 +275,7 @@
                 case processor_policy.ImmediateResponse():
                     self._set_verdict(self._encode_immediate(action))
                 case processor_policy.RunEnded():
-                    self._cancel_lease()
+                    self._release()
                     self.listener.runner.run_ended(
                         self.attempt_id, action.outcome, action.elapsed, action.result
                     )
@@ -294,10 +293,16 @@
         loop = asyncio.get_running_loop()
         self.lease_timer = loop.call_later(self.listener.settings.lease, self._lease_expired)
 
-    def _cancel_lease(self) -> None:
-        if self.lease_timer:
-            self.lease_timer.cancel()
-
     def _lease_expired(self) -> None:
         self.listener.log.event("lease_out", peer=self.peer)
         self._execute(self.consultation.lease_expired(time.monotonic()))
+        self._release()
+
+    def _release(self) -> None:
+        """Drop what keeps this session in memory, as it has no run, or its run is over.
+
+        A proxy that reports later than that is heard as long as its stream is open, and changes nothing.
+        """
+        self.listener.runner.consultations.pop(self.attempt_id, None)
+        if self.lease_timer:
+            self.lease_timer.cancel()
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -70,9 +70,10 @@
         return await self._submit(b"")
 
     @property
-    def is_forwarded(self) -> bool:
-        """Whether the proxy was told to forward the request, and its lease has not expired."""
-        return self.consultation.stage is ConsultationStage.CONTINUED
+    def has_run(self) -> bool:
+        """Whether the proxy was told to forward the request, and the core waits for the end of its run."""
+        consultation = self.consultation
+        return consultation.stage is ConsultationStage.CONTINUED and not consultation.answered_in_shadow
 
     def withdraw(self) -> None:
         """Stop waiting for the verdict, as the proxy has closed the connection."""
@@ -168,7 +169,7 @@
             pass  # the proxy has closed the connection, so there is no response to send
         finally:
             self.streams.release_stream()
-            if not subrequest.is_forwarded:  # the lease of a forwarded request goes on
+            if not subrequest.has_run:  # otherwise its lease goes on, and ends the run
                 subrequest.closed()
 
     async def _consult(self, subrequest: Subrequest) -> None:
--- a/tests/frontends/test_consulting.py
+++ b/tests/frontends/test_consulting.py
@@ -156,3 +156,44 @@
         ("1 refused", 2),
     ]
     assert "1 refused" not in listener.load_now()
+
+
+@pytest.mark.parametrize("ended_by", ["lease", "report", "stream"])
+def test_a_session_whose_run_is_over_is_forgotten_and_a_late_report_changes_nothing(ended_by: str) -> None:
+    # guards against memory that grows with each verdict (docs/incidents/forwarded-subrequests.md)
+    async def check() -> None:
+        harness = Harness()
+        session = harness.submitted_session()
+        session.launched(launch_for(session))
+        assert list(harness.listener.runner.consultations) == [session.attempt_id]
+        if ended_by == "lease":
+            await asyncio.sleep(2 * LEASE_S)
+        elif ended_by == "report":
+            session._execute(session.consultation.response_headers(time.monotonic(), 200, False, True))
+        else:
+            session.closed()
+        assert not harness.listener.runner.consultations
+        assert session.lease_timer
+        assert session.lease_timer.cancelled() or ended_by == "lease"
+        late = session.consultation.response_headers(time.monotonic(), 200, False, True)
+        assert late == [processor_policy.PassThrough()]
+        session.closed()
+        await asyncio.sleep(2 * LEASE_S)
+        assert len(harness.ended) == 1
+
+    run_async(check)
+
+
+def test_a_session_that_was_continued_in_shadow_is_forgotten_with_its_lease() -> None:
+    async def check() -> None:
+        harness = Harness()
+        session = harness.submitted_session()
+        session.consultation.is_shadow = True
+        session._execute(session.consultation.rejected(time.monotonic(), 1.0, False))
+        assert session.verdict
+        assert session.verdict.result() == b"continue in shadow"
+        await asyncio.sleep(2 * LEASE_S)
+        assert not harness.listener.runner.consultations
+        assert not harness.ended, "the core has answered it already"
+
+    run_async(check)
--- a/tests/frontends/test_subrequest.py
+++ b/tests/frontends/test_subrequest.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import gc
 from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
 
 from shelfhaven.config import Address
+from shelfhaven.frontends.subrequest import Subrequest
 from shelfhaven.lab.callers import Reply, connect, read_reply, until
 from shelfhaven.lab.ports import reserved_address
 from tests.frontends.proxy_nodes import (
@@ -33,13 +35,14 @@
 
 @contextlib.asynccontextmanager
 async def running_subrequest_node(
-    lease: str = "200ms", **changes: Any
+    lease: str = "200ms", options: str = "", **changes: Any
 ) -> AsyncIterator[tuple[ProxyNode, Address]]:
     """Run a server that also listens for subrequests; yields it with the address of that listener."""
     address = reserved_address()
     # The text ends the options of the listener for proxies and adds a second listener.
     consult = (
         f'verdict="300ms"\nlisten "a" protocol="subrequest" address="{address}" mapping="m" lease="{lease}"'
+        f" {options}"
     )
     async with running_proxy_node(consult=consult, **changes) as node:
         yield node, address
@@ -84,6 +87,56 @@
     run_async(check)
 
 
+def subrequests_in_memory() -> int:
+    gc.collect()
+    return sum(isinstance(item, Subrequest) for item in gc.get_objects())
+
+
+def test_subrequests_leave_memory_once_their_leases_are_over() -> None:
+    # guards against memory that grows with each verdict (docs/incidents/forwarded-subrequests.md)
+    async def check() -> None:
+        async with running_subrequest_node(lease="50ms", at_once=4) as (node, address):
+            assert node.app.proxies
+            statuses = set()
+            for number in range(40):
+                statuses.add((await send_subrequest(address, "GET", f"/balance/{number}")).status)
+            assert 200 in statuses
+            await until(lambda: not node.app.core.requests)
+            assert not node.app.proxies.runner.consultations
+            assert not node.app.proxies.runner.attempt_by_run
+            await until(lambda: not subrequests_in_memory())
+
+    run_async(check)
+
+
+def test_a_subrequest_that_goes_on_in_shadow_is_not_kept_for_its_lease() -> None:
+    async def check() -> None:
+        async with running_subrequest_node(lease="60s", options='{\n shadow "balance"\n}', at_once=1) as (
+            node,
+            address,
+        ):
+            assert node.app.proxies
+            for number in range(3):
+                assert (await send_subrequest(address, "GET", f"/balance/{number}")).status == 200
+            await until(lambda: len(node.app.proxies.runner.consultations) == 1)  # type: ignore[union-attr]
+            assert len(node.app.core.requests) == 1
+
+    run_async(check)
+
+
+@pytest.mark.parametrize("lease", ["200ms", "60s"])
+def test_a_subrequest_in_flight_stays_known_until_its_lease_is_over(lease: str) -> None:
+    async def check() -> None:
+        async with running_subrequest_node(lease=lease, at_once=1) as (node, address):
+            assert node.app.proxies
+            assert (await send_subrequest(address, "GET", "/balance/1")).status == 200
+            assert len(node.app.proxies.runner.consultations) == len(node.app.core.requests) == 1
+            reply = await send_subrequest(address, "GET", "/balance/2")
+            assert (reply.status, reply.not_run) == (403, True)
+
+    run_async(check)
+
+
 def test_a_subrequest_whose_proxy_gives_up_before_the_verdict_is_withdrawn() -> None:
     async def check() -> None:
         async with running_subrequest_node(lease="5s", at_once=1) as (node, address):
