Key file: a key is found after a restart also by an attempt over another protocol

Callers would have seen a top-up with a query in its URL run again when it was repeated over JSON-RPC after a restart of the node within the window: keys of an earlier incarnation were found by the one digest of body, path parts and query.

Change: server/key_digests.py keeps the location apart in a digest of the key file (24 bytes, was 16), and PreviousIncarnation compares it only where both attempts convey it. Records of earlier versions are found by their own digests. Reservations over the zones keep their digest, as nodes of both versions compare them.

--- a/shelfhaven/server/actors.py
+++ b/shelfhaven/server/actors.py
@@ -29,8 +29,14 @@
 class KeyStore(Protocol):
     """Stores idempotency keys so that they outlive the process."""
 
-    def find_previous(self, key_digest: bytes, key_ttl: float) -> messages.PreviousKey | None:
-        """Return the unexpired key of a run that a previous incarnation started or may have started."""
+    def find_previous(
+        self, key_digest: bytes, earlier_digest: bytes, key_ttl: float
+    ) -> list[messages.PreviousKey]:
+        """Return the unexpired keys of runs of this request that a previous incarnation may have started.
+
+        There may be several if the attempt does not convey all that tells them apart.  `earlier_digest` is
+        the key's digest in the records of versions that did not keep the location apart.
+        """
 
     def record_intent(self, request_id: int, key: messages.DurableKey) -> None:
         """Record that a run is about to start; `IntentRecorded` follows."""
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -1,28 +1,21 @@
 """Idempotency keys of requests, in the table of this process and in the durable key store, if there is one.
 
-This module computes the fleet-wide digest of a key, finds the original of a duplicate, and records the intent
+This module finds the original of a duplicate, and records the intent
 before the run of a keyed request and the outcome after it.  Without a key store, keys are lost when the
 process ends.
 """
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable
 
 from shelfhaven.config import Config
 from shelfhaven.decision.settings import Outcome
-from shelfhaven.server import messages
+from shelfhaven.server import key_digests, messages
 from shelfhaven.server.actors import KeyStore
 from shelfhaven.server.clocks import Clocks
 from shelfhaven.server.key_table import KeyEntry, KeyTable
-from shelfhaven.server.request import (
-    DIGEST_BYTES,
-    NEVER_STARTED_OUTCOMES,
-    Request,
-    RequestKey,
-    content_digest,
-)
+from shelfhaven.server.request import NEVER_STARTED_OUTCOMES, Request, RequestContent, RequestKey
 from shelfhaven.server.request_table import RequestTable
 from shelfhaven.server.result_store import ResultStore
 
@@ -59,10 +52,9 @@
         """
         if not request.runs_once_per_key:
             return
-        candidates = [key for key in self.table.find(request.key) if self._is_valid(key, reached_at)]
-        if not candidates and self.store and request.key not in self.table:
-            entry = self._restore_from_store(request, self.store)
-            candidates = [request.key] if entry and self._is_valid(request.key, reached_at) else []
+        candidates = self._valid_keys(request, reached_at)
+        if self.store and self._restore_from_store(request, self.store, bool(candidates)):
+            candidates = self._valid_keys(request, reached_at)
         if request.key in candidates:
             candidates = [request.key]
         if len(candidates) == 1:
@@ -71,10 +63,14 @@
         elif candidates:
             request.original_id = self.next_request_id()
 
-    def _is_valid(self, key: RequestKey, reached_at: float) -> bool:
-        """Whether an attempt that reached this machine at this time is a duplicate of the key's holder."""
-        entry = self.table.entries[key]
-        return reached_at < entry.valid_until or self.requests.has_unfinished(entry.request_id)
+    def _valid_keys(self, request: Request, reached_at: float) -> list[RequestKey]:
+        """Return the keys whose holders an attempt that reached this machine at this time may repeat."""
+        entries = self.table.entries
+        return [
+            key
+            for key in self.table.find(request.key)
+            if reached_at < entries[key].valid_until or self.requests.has_unfinished(entries[key].request_id)
+        ]
 
     def retain(self, request: Request, ttl: float) -> None:
         """Add a table entry that makes the request the original of its key."""
@@ -153,36 +149,39 @@
         return True
 
     def key_digest_of(self, request: Request) -> bytes:
-        """Return the fleet-wide digest of a request's key; empty if the request may run more than once."""
+        """Return the digest of a request's key in the key store; empty if it may run more than once."""
         submission = request.submission
         if not request.key_digest and submission.idempotency_key and request.runs_once_per_key:
-            digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-            class_name, tenant = self.config.classes[submission.class_index], self._tenant_name(submission)
-            for text in (class_name, tenant, submission.idempotency_key):
-                digest.update(b"%d\0%b" % (len(text), text.encode()))
-            digest.update(content_digest(submission))
-            request.key_digest = digest.digest()
+            request.key_digest = key_digests.stored_digest(*self._names(submission), request.content)
         return request.key_digest
 
     def reservation_digest(self, request: Request) -> bytes:
         """Return the digest under which the runner reserves the key in the fleet; empty if it does not."""
-        return self.key_digest_of(request) if self.reserved_in_fleet else b""
+        submission = request.submission
+        if not (self.reserved_in_fleet and submission.idempotency_key and request.runs_once_per_key):
+            return b""
+        return key_digests.reservation_digest(*self._names(submission), submission)
 
-    def _restore_from_store(self, request: Request, store: KeyStore) -> KeyEntry | None:
-        """Add a key that a previous incarnation ran, or may have run, to the table.
+    def _restore_from_store(self, request: Request, store: KeyStore, is_duplicate: bool) -> bool:
+        """Add the keys that a previous incarnation ran, or may have run, to the table, if they are not there.
 
-        The holder gets a new request id, which the controller does not know.
+        Of a request that is a duplicate already, a key that only may have run is left out.  The holders get
+        new request ids, which the controller does not know.  Returns whether a key was added.
         """
-        digest = self.key_digest_of(request)
-        previous = store.find_previous(digest, request.class_settings.key_ttl)
-        if previous is None:
-            return None
-        valid_until = self.clocks.monotonic() + previous.valid_for
-        forget_at = valid_until + request.class_settings.deadline
-        stored_digest = digest if previous.is_recorded else None
-        entry = KeyEntry(self.next_request_id(), valid_until, forget_at, stored_digest=stored_digest)
-        self.table.put(request.key, entry)
-        return entry
+        submission = request.submission
+        earlier_digest = key_digests.reservation_digest(*self._names(submission), submission)
+        key_ttl = request.class_settings.key_ttl
+        restored = False
+        for previous in store.find_previous(self.key_digest_of(request), earlier_digest, key_ttl):
+            key = _key_of_previous(request, previous)
+            if key in self.table or (is_duplicate and not previous.is_recorded):
+                continue
+            valid_until = self.clocks.monotonic() + previous.valid_for
+            forget_at = valid_until + request.class_settings.deadline
+            entry = KeyEntry(self.next_request_id(), valid_until, forget_at, previous.digest or None)
+            self.table.put(key, entry)
+            restored = True
+        return restored
 
     def _add_uncertain(self, request: Request) -> None:
         """Add a key that may have run elsewhere to the table.
@@ -215,6 +214,19 @@
     def _deadline_of(self, key: RequestKey) -> float:
         return self.config.settings.classes[key.name.class_index].deadline
 
+    def _names(self, submission: messages.SubmitRequest) -> tuple[str, str, str]:
+        """Return class name, tenant name and idempotency key, as digests take them."""
+        class_name = self.config.classes[submission.class_index]
+        return class_name, self._tenant_name(submission), submission.idempotency_key
+
     def _tenant_name(self, submission: messages.SubmitRequest) -> str:
         names = self.config.tenants
         return names[submission.tenant] if 0 <= submission.tenant < len(names) else ""
+
+
+def _key_of_previous(request: Request, previous: messages.PreviousKey) -> RequestKey:
+    """Return the key of a run of a previous incarnation that the request may repeat."""
+    if not key_digests.has_location(previous.digest):
+        return request.key
+    location = key_digests.location_of(previous.digest)
+    return RequestKey(request.key.name, RequestContent(request.content.body, location))
--- /dev/null
+++ b/shelfhaven/server/key_digests.py
@@ -0,0 +1,56 @@
+"""Digests of idempotency keys outside of this process: in the key store and in reservations of the fleet.
+
+A digest in the key store has two parts: one of class, tenant, key and body, and one of the location, which
+some protocols do not convey.  So an attempt finds the record of its request that came by another protocol.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+from shelfhaven.server import messages
+from shelfhaven.server.request import (
+    DIGEST_BYTES,
+    LOCATION_DIGEST_BYTES,
+    RequestContent,
+    content_digest,
+)
+
+NAME_DIGEST_BYTES = DIGEST_BYTES  # first part of a digest in the key store
+UNKNOWN_LOCATION = bytes(LOCATION_DIGEST_BYTES)
+BODY_UNKNOWN = b"no body"  # in place of the digest of a body, which has another length
+
+
+def stored_digest(class_name: str, tenant: str, idempotency_key: str, content: RequestContent) -> bytes:
+    """Return the digest of a key in the key store."""
+    digest = _name_hash(class_name, tenant, idempotency_key)
+    digest.update(BODY_UNKNOWN if content.body is None else content.body)
+    location = UNKNOWN_LOCATION if content.location is None else content.location
+    return digest.digest() + location
+
+
+def location_of(digest: bytes) -> bytes | None:
+    """Return the location digest in a digest of the key store; None if it is unknown."""
+    location = digest[NAME_DIGEST_BYTES:]
+    return None if location == UNKNOWN_LOCATION else location
+
+
+def has_location(digest: bytes) -> bool:
+    """Whether a digest keeps the location apart, which those of earlier versions do not."""
+    return len(digest) > NAME_DIGEST_BYTES
+
+
+def reservation_digest(
+    class_name: str, tenant: str, idempotency_key: str, submission: messages.SubmitRequest
+) -> bytes:
+    """Return the digest of a key in reservations of the fleet, and in key stores of earlier versions."""
+    digest = _name_hash(class_name, tenant, idempotency_key)
+    digest.update(content_digest(submission))
+    return digest.digest()
+
+
+def _name_hash(*texts: str) -> hashlib.blake2b:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in texts:
+        digest.update(b"%d\0%b" % (len(text), text.encode()))
+    return digest
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -321,7 +321,12 @@
     """The key of a run that a previous incarnation started or may have started."""
 
     valid_for: float  # seconds until the key expires
-    is_recorded: bool  # the key is in the store, so the result of its run can be fetched
+    digest: bytes  # by which the result of its run can be fetched; empty if the key is not in the store
+
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the key is in the store."""
+        return bool(self.digest)
 
 
 @dataclass(frozen=True, slots=True)
--- a/shelfhaven/server/request.py
+++ b/shelfhaven/server/request.py
@@ -16,6 +16,7 @@
 from shelfhaven.server import messages
 
 DIGEST_BYTES = 16  # 128 bits make an accidental collision of two keys of a fleet negligible
+LOCATION_DIGEST_BYTES = 8  # compared only between attempts with the same key
 NEVER_STARTED_OUTCOMES = (Outcome.REJECTED, Outcome.CONNECT_FAILED)  # the run never started
 FAILED_OUTCOMES = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)  # the run may have had its effect
 
@@ -98,7 +99,7 @@
 
 
 def _location_digest(identity_parts: tuple[str, ...]) -> bytes:
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest = hashlib.blake2b(digest_size=LOCATION_DIGEST_BYTES)
     for text in identity_parts:
         digest.update(b"%d\0%b" % (len(text), text.encode()))
     return digest.digest()
@@ -124,7 +125,7 @@
         original_key: the key by which the table holds that attempt.
         may_run_elsewhere: the caller cancelled the request and may still have it run elsewhere.
         call_number: the runner's number of the downstream call that the run waits for.
-        key_digest: identifies the idempotency key in the whole fleet and in the key store; cached.
+        key_digest: identifies the key and its content in the key store; cached.
         unrecorded_completion: the completion of the run, while its outcome is being recorded.
         duplicate_ids: attempts that wait for the result of this one.
     """
--- a/shelfhaven/state/actor.py
+++ b/shelfhaven/state/actor.py
@@ -197,9 +197,11 @@
         """Return whether this node should receive requests."""
         return self.disk.accepts_work(boottime())
 
-    def find_previous(self, key_digest: bytes, key_ttl: float) -> messages.PreviousKey | None:
-        """Return the key if an earlier incarnation has run it, or may have, and it has not expired."""
-        return self.previous.find(boottime(), key_digest, key_ttl)
+    def find_previous(
+        self, key_digest: bytes, earlier_digest: bytes, key_ttl: float
+    ) -> list[messages.PreviousKey]:
+        """Return the unexpired keys of runs of this request that an earlier incarnation may have started."""
+        return self.previous.find(boottime(), key_digest, earlier_digest, key_ttl)
 
     def record_intent(self, request_id: int, key: messages.DurableKey) -> None:
         """Record that a keyed run is about to begin; `IntentRecorded` then tells whether it may."""
--- a/tests/server/test_core_durability.py
+++ b/tests/server/test_core_durability.py
@@ -10,6 +10,7 @@
 
 from shelfhaven.lab.state_model import Mistake, search
 from shelfhaven.server import messages
+from shelfhaven.server.key_digests import NAME_DIGEST_BYTES, UNKNOWN_LOCATION
 from tests.server.core_harness import LOOK, PAY, CoreHarness, with_harness
 
 
@@ -32,11 +33,20 @@
         self.possibly_previous = 0.0
         self.confirms_outcomes = True
 
-    def find_previous(self, key_digest: bytes, key_ttl: float) -> messages.PreviousKey | None:
-        if valid_for := self.previous.get(key_digest):
-            return messages.PreviousKey(valid_for, is_recorded=True)
+    def find_previous(
+        self, key_digest: bytes, earlier_digest: bytes, key_ttl: float
+    ) -> list[messages.PreviousKey]:
+        name, location = key_digest[:NAME_DIGEST_BYTES], key_digest[NAME_DIGEST_BYTES:]
+        found = [
+            messages.PreviousKey(valid_for, digest)
+            for digest, valid_for in self.previous.items()
+            if digest in (key_digest, earlier_digest)
+            or (digest.startswith(name) and UNKNOWN_LOCATION in (location, digest[NAME_DIGEST_BYTES:]))
+        ]
+        if found:
+            return found
         uncertain_for = min(key_ttl, self.possibly_previous)
-        return messages.PreviousKey(uncertain_for, is_recorded=False) if uncertain_for else None
+        return [messages.PreviousKey(uncertain_for, b"")] if uncertain_for else []
 
     def record_uncertain(self, key: messages.DurableKey) -> None:
         self.uncertain.append(key)
@@ -75,7 +85,7 @@
     assert (key.class_name, key.idempotency_key, len(key.digest), key.time_left > 0) == (
         "pay",
         "k",
-        16,
+        NAME_DIGEST_BYTES + len(UNKNOWN_LOCATION),
         True,
     )
     assert harness.launched_attempts() == []
@@ -184,6 +194,46 @@
     assert len(store.intents) == 2, "its TTL is over"
 
 
+def with_query(query: str) -> messages.RequestAttributes:
+    return messages.RequestAttributes("POST", "/topup", query, "", identity_parts=(query,))
+
+
+@with_harness
+def test_a_key_of_a_previous_incarnation_is_found_by_an_attempt_over_another_protocol(
+    harness: CoreHarness,
+) -> None:
+    # guards against an effect that happens twice (docs/incidents/repeat-by-another-protocol.md)
+    store = attach_store(harness)
+    harness.submit(1, PAY, "k", attributes=with_query("channel=ussd"))
+    digest = store.intents[0][1].digest
+    harness.send(messages.IntentRecorded(store.intents[0][0], False, 1.0))
+    for key in list(harness.core.keys.table.entries):  # as in a new incarnation
+        harness.core.keys.table.remove(key)
+    store.previous[digest] = 5.0
+    harness.submit(2, PAY, "k")
+    (fetch,) = store.fetches
+    assert fetch[1] == digest
+    harness.send(messages.StoredResultFetched(fetch[0], b"before"))
+    assert [answer.body for answer in harness.answers(2)] == [b"before"]
+    harness.submit(3, PAY, "k", attributes=with_query("channel=app"))
+    harness.submit(4, PAY, "k", body=b"other")
+    assert len(store.intents) == 3, "both are other requests"
+
+
+@with_harness
+def test_a_repeat_of_one_of_two_keys_of_a_previous_incarnation_fails(harness: CoreHarness) -> None:
+    store = attach_store(harness)
+    for request_ref, query in ((1, "channel=ussd"), (2, "channel=app")):
+        harness.submit(request_ref, PAY, "k", attributes=with_query(query))
+        harness.send(messages.IntentRecorded(store.intents[-1][0], False, 1.0))
+    for key in list(harness.core.keys.table.entries):  # as in a new incarnation
+        harness.core.keys.table.remove(key)
+    store.previous = {key.digest: 5.0 for _, key in store.intents}
+    harness.submit(3, PAY, "k")
+    assert [type(answer) for answer in harness.answers(3)] == [messages.FailedAnswer]
+    assert harness.launched_attempts() == []
+
+
 @with_harness
 def test_a_key_that_may_have_run_elsewhere_is_recorded(harness: CoreHarness) -> None:
     store = attach_store(harness)
--- a/tests/state/test_fleet.py
+++ b/tests/state/test_fleet.py
@@ -40,6 +40,22 @@
         ), "a key with another request body is another request"
 
 
+@played
+async def test_a_topup_whose_url_has_a_query_is_not_run_again_over_json_rpc_after_a_restart() -> None:
+    # guards against an effect that happens twice (docs/incidents/repeat-by-another-protocol.md)
+    async with key_store_fleet(with_routers=True) as nodes:
+        await nodes.start()
+        reply = await nodes.node.ask("POST", "/topup?channel=ussd", b"100", HTTP_IDEMPOTENCY_KEY="k1")
+        assert reply.status == 200
+        await nodes.restart()
+        router = Router(*await connect(Address("127.0.0.1", nodes.node.routers)))
+        router.request(1, "topup", dedupe="k1", body=base64.b64encode(b"100").decode())
+        answer = await router.answer(1)
+        assert base64.b64decode(answer["result"]["body"]) == reply.body
+        await router.close()
+        assert nodes.runs_of("k1") == 1
+
+
 @played
 async def test_a_key_in_flight_when_the_process_is_killed_does_not_run_again_within_its_ttl() -> None:
     async with key_store_fleet() as nodes:
