Subrequests: one listener and one way of ending for all callers; verdicts in a drain

Cause: the HTTP library's server closed its socket without the backlog and closed connections whose request was unread; the closing phase was too short for a full backlog, so that the node was killed at its stop time; and new connections were evicted before their first request. Evidence: the record gives for each loss whether its connection ended or was reset, and when.

Change: connections of proxies are accepted, kept and closed by the Listener of routers and gateways; SubrequestConnection has the HTTP library read on them. Connection is split into the life of a connection and MessageConnection, which parses. In a drain the listener for subrequests stops after half of the stop time, with its backlog accepted, and what was sent before gets "not run" with Retry-After. They count as descriptors.

--- a/shelfhaven/frontends/connection.py
+++ b/shelfhaven/frontends/connection.py
@@ -1,43 +1,32 @@
-"""A connection of a caller, independent of its protocol: reading requests, sending answers, closing.
+"""The life of a connection of a caller, independent of who reads its requests: states, sending, closing.
 
 A `Connection` owns the stream, the references of its unanswered requests and the bytes to be sent.  It does
 not close a connection that has an unanswered request, and answers by itself only what cannot be read.
-Subclasses implement the framing, decoding and encoding of a protocol.
+Subclasses read requests and answer them: `MessageConnection` for protocols that this project parses.
 
-Answers are sent by `_flush`, and to a half-closed peer by `_answer_half_closed_peer`; `_release` and `abort`
-close the socket.  docs/shutdown-and-races.md lists the events that may happen between any two steps.
+Bytes are sent by `_flush`; `_release` and `abort` close the socket.  docs/shutdown-and-races.md lists the
+events that may happen between any two steps.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import time
-import traceback
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from enum import Enum
-from typing import TypeAlias
 
 from tornado.iostream import StreamClosedError
 
 from shelfhaven.errors import ShelfhavenError
 from shelfhaven.frontends.stream import DetachableStream
-from shelfhaven.server import messages
 from shelfhaven.server.log import Log
-from shelfhaven.server.mailbox import Mailbox, peek
+from shelfhaven.server.mailbox import peek
 
-READ_BYTES = 64 * 1024  # at most, in one read
 CLOSE_RACE_WINDOW_S = 0.05  # by the protocol, a request may still cross a close this soon after a message
 MESSAGE_TIMEOUT_S = 1.5  # until a message is complete; a caller that sends nothing is closed within 3 s
 CLOSE_TIMEOUT_S = 0.5  # a close waits this long for the peer's end of stream: answers arrive sooner
 CLOSE_POLL_S = 0.02  # between checks for the peer's end of stream
-HALF_CLOSED_POLL_S = 0.05  # between checks whether a peer that ended its stream has closed the connection
-
-NotifyCore: TypeAlias = Callable[
-    [messages.SubmitRequest | messages.CancelRequest | messages.RejectMalformed | messages.CheckHealth], None
-]
 
 
 class ConnectionState(Enum):
@@ -59,25 +48,19 @@
 
 
 class Connection(ABC):
-    """Actor of one connection, and a frontend as the core sees it.
+    """Actor of one connection.
 
     Attributes:
         message_timeout: seconds within which a message that has begun must be complete.
         unread_answer_timeout: seconds within which the peer must have read an answer; None for no limit.
-        liveness_probe: a message that a peer may receive at any time.  A peer that has ended its stream
-            resets the connection on receiving it if it has closed the connection, and reads it otherwise.
-            Empty if the protocol has no such message.
     """
 
     message_timeout = MESSAGE_TIMEOUT_S
     unread_answer_timeout: float | None = None
-    liveness_probe = b""
 
-    def __init__(self, stream: DetachableStream, notify_core: NotifyCore, log: Log) -> None:
+    def __init__(self, stream: DetachableStream, log: Log) -> None:
         self.stream = stream
-        self.notify_core = notify_core
         self.log = log
-        self.mailbox: Mailbox[messages.Answer] = Mailbox(self._queue_answer, log, self._flush)
         self.state = ConnectionState.OPEN
         self.unanswered: set[int] = set()  # references of requests
         self.outgoing: list[bytes] = []
@@ -88,7 +71,6 @@
         self.silent = True  # no complete message has been received yet
         self.closed_by_reader = False  # the reading task has done its last read and closes the stream itself
         self.output_finished = asyncio.Event()  # an unreadable connection has no more answers to send
-        self.answer_ready = asyncio.Event()  # there are answers to send to a half-closed peer
 
     @property
     @abstractmethod
@@ -96,16 +78,12 @@
         """Whether part of a message has been read."""
 
     @abstractmethod
-    def _parse(self, data: bytes) -> None:
-        """Parse received bytes and notify the core of each message in them.
-
-        Raises:
-            UnreadableStreamError: the stream cannot be read any further.
-        """
+    async def _serve(self) -> None:
+        """Read and handle requests until the stream ends or cannot be read, and all answers are written."""
 
     @abstractmethod
-    def _encode(self, answer: messages.Answer) -> bytes:
-        """Return the bytes of an answer."""
+    def _cancel_unanswered(self) -> None:
+        """Give up the unanswered requests, whose answers can no longer be sent."""
 
     @abstractmethod
     def _encode_unreadable(self, error: UnreadableStreamError) -> bytes:
@@ -115,10 +93,6 @@
     def announce_shutdown(self) -> None:
         """Ask the peer to send no new requests and to close, as far as the protocol can express that."""
 
-    def answer(self, answer: messages.Answer) -> None:
-        """Queue an answer of the core."""
-        self.mailbox.put(answer)
-
     async def run(self) -> None:
         """Read until the stream ends, send outstanding answers, and close."""
         try:
@@ -129,56 +103,16 @@
             self._release()
             raise
         try:
-            if self._can_answer_half_closed_peer():
-                await self._answer_half_closed_peer()
-            elif not self.stream.eof_received:
-                await self._close_gracefully()
+            await self._end_stream()
         except (OSError, TimeoutError):
             pass
         finally:
             self._release()
 
-    async def _serve(self) -> None:
-        """Read messages until the stream ends or cannot be read; then send outstanding answers."""
-        while self.state is ConnectionState.OPEN:
-            data = await self.stream.read_bytes(READ_BYTES, partial=True)
-            self._handle_data(data)
-            if self.stream.writing():  # backpressure: stop reading until the peer has read its answers
-                await self.stream.write(b"")
-        await self.output_finished.wait()
-        await self.stream.write(b"")  # waits until pending bytes have been sent
-        await self._prepare_close()
-
-    async def _prepare_close(self) -> None:
-        """Prepare an unreadable stream for the close."""
-        self.stream.detach()
-
-    def _can_answer_half_closed_peer(self) -> bool:
-        """Whether the peer has ended its stream and a probe can tell whether it still reads answers."""
-        return self.stream.eof_received and bool(self.liveness_probe)
-
-    async def _answer_half_closed_peer(self) -> None:
-        """Send outstanding answers to a peer that has ended its stream, until all are sent or it resets.
-
-        A TCP peer that has shut down its sending direction may still read.  A peer that has closed the
-        connection resets it on the first byte that it receives, so the probe is sent before the answers.
-        """
-        sock = self.stream.detached_socket
-        if sock is None or not (self.unanswered or self.outgoing or self.stream.unsent):
-            return
-        self.state = ConnectionState.PEER_HALF_CLOSED
-        self.outgoing[:0] = [self.stream.unsent, self.liveness_probe]
-        while self.unanswered or self.outgoing:
-            data = b"".join(self.outgoing)
-            self.outgoing.clear()
-            self.answer_ready.clear()
-            if data:
-                sending = asyncio.get_running_loop().sock_sendall(sock, data)
-                await asyncio.wait_for(sending, self.unread_answer_timeout)
-            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                return
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.answer_ready.wait(), HALF_CLOSED_POLL_S)
+    async def _end_stream(self) -> None:
+        """End this side's stream, unless the peer has ended the connection."""
+        if not self.stream.eof_received:
+            await self._close_gracefully()
 
     async def _close_gracefully(self) -> None:
         """End this side's stream and wait a limited time for the peer to end its own.
@@ -200,10 +134,8 @@
         """Close the socket and cancel the unanswered requests, whose answers can no longer be sent."""
         self.state = ConnectionState.CLOSED
         self.abort()
-        for ref in self.unanswered:
-            self.notify_core(messages.CancelRequest(self, ref))
+        self._cancel_unanswered()
         self.unanswered.clear()
-        self.mailbox.end()
 
     def abort(self) -> None:
         """Close the socket at once, discarding anything pending."""
@@ -215,24 +147,6 @@
         """Begin the graceful close of a connection without unanswered requests."""
         self.stream.detach()
 
-    def _handle_data(self, data: bytes) -> None:
-        """Handle received bytes; bytes received on an unreadable connection are discarded."""
-        if self.state is not ConnectionState.OPEN:
-            return
-        if not self.has_partial_message:
-            self.message_awaited_since = time.monotonic()
-        try:
-            self._parse(data)
-        except UnreadableStreamError as error:
-            self.closed_by_reader = True
-            self.fail_unreadable(error)
-        except Exception:
-            self.fail_unreadable(UnreadableStreamError(traceback.format_exc(limit=-4)))
-        if self.draining:
-            self.announce_shutdown()
-        if self.outgoing:
-            self._flush()
-
     def _record_message(self) -> None:
         """Record that a complete message was received."""
         self.last_used_at = self.message_awaited_since = time.monotonic()
@@ -273,12 +187,6 @@
             and now - self.last_used_at > self.unread_answer_timeout
         )
 
-    def _queue_answer(self, answer: messages.Answer) -> None:
-        if answer.request_ref not in self.unanswered:  # the request has been cancelled
-            return
-        self.unanswered.discard(answer.request_ref)
-        self.outgoing.append(self._encode(answer))
-
     def _flush(self) -> None:
         if self.stream.closed():
             self._flush_ended_stream()
@@ -291,10 +199,7 @@
         self._close_if_done()
 
     def _flush_ended_stream(self) -> None:
-        """Have answers sent on the detached socket of an ended stream if possible, else discard them."""
-        if self._can_answer_half_closed_peer():
-            self.answer_ready.set()
-            return
+        """Discard what can no longer be sent."""
         self.outgoing.clear()
         self.output_finished.set()
 
--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -19,11 +19,12 @@
 from typing import NamedTuple
 
 from shelfhaven.backends.proxy import ProxyRunner
-from shelfhaven.frontends.connection import NotifyCore
+from shelfhaven.frontends.message_connection import NotifyCore
 from shelfhaven.operator_config import Listen
 from shelfhaven.routing import processor_policy, stream_admission
 from shelfhaven.routing.request_mapping import RequestMapping
 from shelfhaven.server import messages
+from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 
 ATTEMPT_ID_BYTES = 8
@@ -45,6 +46,7 @@
         log: the server's log.
         is_healthy: tells whether health checks are answered with success.
         cores: number of CPU cores that this server may use.
+        descriptors: the file descriptors of this server.
     """
 
     runner: ProxyRunner
@@ -52,6 +54,7 @@
     log: Log
     is_healthy: Callable[[], bool]
     cores: float
+    descriptors: Descriptors
 
 
 class AnswerCountKey(NamedTuple):
@@ -66,8 +69,12 @@
 
     Attributes:
         answer_counts: answers of the core since they were last logged.
+        stops_listening_early: whether connections in its backlog are accepted before it stops listening, so
+            that it can stop in time to answer them all.
     """
 
+    stops_listening_early = False
+
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         self.listen = listen
         self.mapping = mapping
@@ -100,8 +107,8 @@
         """Accept no new connections or streams; open ones have `time_left` seconds to end."""
 
     @abstractmethod
-    async def end(self) -> None:
-        """Close all open connections and streams."""
+    async def end(self, time_left: float) -> None:
+        """Close all open connections and streams within `time_left` seconds."""
 
     def admit(self) -> bool:
         """Admit and count one more consultation, unless the server is at its limit or overloaded."""
@@ -111,6 +118,10 @@
         """Return the number of open consultations."""
         return self.streams.open_streams
 
+    def has_connections(self) -> bool:
+        """Return whether a proxy is connected that may still get a verdict."""
+        return bool(self.open_requests())
+
     def count_answer(self, class_index: int, answer: messages.Answer) -> None:
         """Count an answer of the core, for the log."""
         self.answer_counts[AnswerCountKey(class_index, messages.ANSWER_KINDS[type(answer)])] += 1
--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -219,7 +219,7 @@
         if self.server and not self.stopping:
             self.stopping = asyncio.ensure_future(self.server.stop(time_left))
 
-    async def end(self) -> None:
+    async def end(self, _time_left: float) -> None:
         """Close all open streams."""
         self._stop_load_measurement()
         if self.server:
--- a/shelfhaven/frontends/jsonrpc.py
+++ b/shelfhaven/frontends/jsonrpc.py
@@ -11,7 +11,8 @@
 
 from shelfhaven.config import Config
 from shelfhaven.decision.settings import RetrySafety
-from shelfhaven.frontends.connection import Connection, NotifyCore, UnreadableStreamError
+from shelfhaven.frontends.connection import UnreadableStreamError
+from shelfhaven.frontends.message_connection import MessageConnection, NotifyCore
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.protocol import jsonrpc as wire
 from shelfhaven.server import messages
@@ -43,7 +44,7 @@
         self.max_deadline = max(settings.deadline for settings in config.settings.classes)
 
 
-class RouterConnection(Connection):
+class RouterConnection(MessageConnection):
     """Actor of one router's connection."""
 
     liveness_probe = wire.SHUTDOWN_NOTICE
--- /dev/null
+++ b/shelfhaven/frontends/message_connection.py
@@ -0,0 +1,150 @@
+"""A connection whose bytes this project parses: framing, requests to the core, and its answers.
+
+Subclasses implement the framing, decoding and encoding of a protocol.  Answers to a peer that has ended its
+stream are sent by `_answer_half_closed_peer`, all others by `Connection`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+import traceback
+from abc import abstractmethod
+from collections.abc import Callable
+from typing import TypeAlias
+
+from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
+from shelfhaven.frontends.stream import DetachableStream
+from shelfhaven.server import messages
+from shelfhaven.server.log import Log
+from shelfhaven.server.mailbox import Mailbox
+
+READ_BYTES = 64 * 1024  # at most, in one read
+HALF_CLOSED_POLL_S = 0.05  # between checks whether a peer that ended its stream has closed the connection
+
+NotifyCore: TypeAlias = Callable[
+    [messages.SubmitRequest | messages.CancelRequest | messages.RejectMalformed | messages.CheckHealth], None
+]
+
+
+class MessageConnection(Connection):
+    """Actor of one connection, and a frontend as the core sees it.
+
+    Attributes:
+        liveness_probe: a message that a peer may receive at any time.  A peer that has ended its stream
+            resets the connection on receiving it if it has closed the connection, and reads it otherwise.
+            Empty if the protocol has no such message.
+    """
+
+    liveness_probe = b""
+
+    def __init__(self, stream: DetachableStream, notify_core: NotifyCore, log: Log) -> None:
+        super().__init__(stream, log)
+        self.notify_core = notify_core
+        self.mailbox: Mailbox[messages.Answer] = Mailbox(self._queue_answer, log, self._flush)
+        self.answer_ready = asyncio.Event()  # there are answers to send to a half-closed peer
+
+    @abstractmethod
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes and notify the core of each message in them.
+
+        Raises:
+            UnreadableStreamError: the stream cannot be read any further.
+        """
+
+    @abstractmethod
+    def _encode(self, answer: messages.Answer) -> bytes:
+        """Return the bytes of an answer."""
+
+    def answer(self, answer: messages.Answer) -> None:
+        """Queue an answer of the core."""
+        self.mailbox.put(answer)
+
+    async def _serve(self) -> None:
+        """Read messages until the stream ends or cannot be read; then send outstanding answers."""
+        while self.state is ConnectionState.OPEN:
+            data = await self.stream.read_bytes(READ_BYTES, partial=True)
+            self._handle_data(data)
+            if self.stream.writing():  # backpressure: stop reading until the peer has read its answers
+                await self.stream.write(b"")
+        await self.output_finished.wait()
+        await self.stream.write(b"")  # waits until pending bytes have been sent
+        await self._prepare_close()
+
+    async def _prepare_close(self) -> None:
+        """Prepare an unreadable stream for the close."""
+        self.stream.detach()
+
+    async def _end_stream(self) -> None:
+        if self._can_answer_half_closed_peer():
+            await self._answer_half_closed_peer()
+        else:
+            await super()._end_stream()
+
+    def _can_answer_half_closed_peer(self) -> bool:
+        """Whether the peer has ended its stream and a probe can tell whether it still reads answers."""
+        return self.stream.eof_received and bool(self.liveness_probe)
+
+    async def _answer_half_closed_peer(self) -> None:
+        """Send outstanding answers to a peer that has ended its stream, until all are sent or it resets.
+
+        A TCP peer that has shut down its sending direction may still read.  A peer that has closed the
+        connection resets it on the first byte that it receives, so the probe is sent before the answers.
+        """
+        sock = self.stream.detached_socket
+        if sock is None or not (self.unanswered or self.outgoing or self.stream.unsent):
+            return
+        self.state = ConnectionState.PEER_HALF_CLOSED
+        self.outgoing[:0] = [self.stream.unsent, self.liveness_probe]
+        while self.unanswered or self.outgoing:
+            data = b"".join(self.outgoing)
+            self.outgoing.clear()
+            self.answer_ready.clear()
+            if data:
+                sending = asyncio.get_running_loop().sock_sendall(sock, data)
+                await asyncio.wait_for(sending, self.unread_answer_timeout)
+            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.answer_ready.wait(), HALF_CLOSED_POLL_S)
+
+    def _release(self) -> None:
+        super()._release()
+        self.mailbox.end()
+
+    def _cancel_unanswered(self) -> None:
+        for ref in self.unanswered:
+            self.notify_core(messages.CancelRequest(self, ref))
+
+    def _handle_data(self, data: bytes) -> None:
+        """Handle received bytes; bytes received on an unreadable connection are discarded."""
+        if self.state is not ConnectionState.OPEN:
+            return
+        if not self.has_partial_message:
+            self.message_awaited_since = time.monotonic()
+        try:
+            self._parse(data)
+        except UnreadableStreamError as error:
+            self.closed_by_reader = True
+            self.fail_unreadable(error)
+        except Exception:
+            self.fail_unreadable(UnreadableStreamError(traceback.format_exc(limit=-4)))
+        if self.draining:
+            self.announce_shutdown()
+        if self.outgoing:
+            self._flush()
+
+    def _queue_answer(self, answer: messages.Answer) -> None:
+        if answer.request_ref not in self.unanswered:  # the request has been cancelled
+            return
+        self.unanswered.discard(answer.request_ref)
+        self.outgoing.append(self._encode(answer))
+
+    def _flush_ended_stream(self) -> None:
+        """Have answers sent on the detached socket of an ended stream if possible, else discard them."""
+        if self._can_answer_half_closed_peer():
+            self.answer_ready.set()
+        else:
+            super()._flush_ended_stream()
--- a/shelfhaven/frontends/stream.py
+++ b/shelfhaven/frontends/stream.py
@@ -38,6 +38,15 @@
             self.eof_received = self._detach_on_close = True
         return count
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes have been received that nobody has read from this stream."""
+        return bool(self._read_buffer_size)
+
+    def detach_on_close(self) -> None:
+        """Leave the socket open whatever closes the stream from now on."""
+        self._detach_on_close = True
+
     def detach(self) -> None:
         """End the stream and leave its socket open; do nothing if the stream is closed."""
         self._detach_on_close = True
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -1,6 +1,6 @@
 """The frontend for proxies that ask by a plain HTTP/1.1 subrequest, whose status is the verdict.
 
-This module runs Tornado's HTTP server and encodes verdicts as HTTP responses.  Method and target of the
+This module encodes verdicts as HTTP responses.  Method and target of the
 proxied request are taken from X-Original-Method and X-Original-URI, or else from the subrequest itself.
 
 Such a proxy does not report how a run ended, so every run ends when its lease expires.  Therefore the time
@@ -13,13 +13,10 @@
 import asyncio
 import math
 from http import HTTPStatus
-from pathlib import Path
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
-from tornado.netutil import bind_sockets, bind_unix_socket
 
 from shelfhaven.frontends.consulting import (
     OVERLOAD_RETRY_AFTER_S,
@@ -27,6 +24,9 @@
     ProxyListener,
     ProxyListenerContext,
 )
+from shelfhaven.frontends.listener import Listener
+from shelfhaven.frontends.stream import DetachableStream
+from shelfhaven.frontends.subrequest_connection import SubrequestConnection
 from shelfhaven.operator_config import Listen
 from shelfhaven.protocol.http import REASON_PHRASES
 from shelfhaven.routing import processor_policy
@@ -34,11 +34,8 @@
 from shelfhaven.routing.request_mapping import MappingError, RequestMapping
 from shelfhaven.server import messages
 
-MAX_HEADER_BYTES = 32 * 1024
-IDLE_TIMEOUT_S = 60.0  # after which a connection without a request is closed
 MILLISECONDS_PER_SECOND = 1000
 CONFLICT = 409  # status of the answer to a duplicate whose original has run
-UNIX_PEER = "unix"  # host of a peer that connects over a Unix socket
 
 
 class Subrequest(ConsultationSession):
@@ -112,18 +109,22 @@
 
 
 class SubrequestListener(ProxyListener):
-    """Actor of one listener for subrequests."""
+    """Actor of one listener for subrequests; its connections are those of a `Listener`."""
+
+    stops_listening_early = True
 
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         super().__init__(listen, mapping, context)
-        self.server = HTTPServer(
-            self._accept_request,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=self.settings.max_body_bytes,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
-            body_timeout=listen.request_timeout,
+        self.listener = Listener(
+            listen.address, context.descriptors, self._make_connection, self.log, listen.max_connections
         )
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.stopped = False  # whether it no longer listens; what was sent before gets a rejection
+
+    def _make_connection(self, stream: DetachableStream, peer: str) -> SubrequestConnection:
+        async def handle(request: HTTPServerRequest) -> None:
+            await self._serve(request, peer)
+
+        return SubrequestConnection(stream, self.listen, handle, self.log)
 
     async def start(self) -> None:
         """Listen.
@@ -131,38 +132,44 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        address = self.listen.address
-        if isinstance(address, Path):
-            self.server.add_socket(bind_unix_socket(str(address)))
-        else:
-            self.server.add_sockets(bind_sockets(address.port, address.host))
+        self.listener.start()
         self._measure_load()
 
+    def begin_drain(self) -> None:
+        """Begin the graceful shutdown; requests of proxies are still answered."""
+        super().begin_drain()
+        self.listener.begin_drain()
+
     def stop_listening(self, _time_left: float) -> None:
-        """Accept no new connections; open ones stay until `end`."""
-        self.server.stop()
+        """Stop listening, after accepting the whole backlog; connections stay until `end`."""
+        self.stopped = True
+        self.listener.stop_listening()
 
-    async def end(self) -> None:
-        """Close all open connections."""
-        self._stop_load_measurement()
-        self.server.stop()
-        await self.server.close_all_connections()
+    def open_requests(self) -> int:
+        """Return the number of requests without a response."""
+        return self.listener.open_requests()
 
-    def _accept_request(self, request: HTTPServerRequest) -> None:
-        task = asyncio.get_running_loop().create_task(self._serve(request))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+    def has_connections(self) -> bool:
+        """Return whether a connection is open; what was sent on it may still be unread."""
+        return bool(self.listener.connections)
 
-    async def _serve(self, request: HTTPServerRequest) -> None:
+    async def end(self, time_left: float) -> None:
+        """Close each connection once its requests are answered, within `time_left` seconds."""
+        self._stop_load_measurement()
+        await self.listener.close_connections(time_left)
+
+    async def _serve(self, request: HTTPServerRequest, peer: str) -> None:
         if request.path == self.listen.health_path:
             status = HTTPStatus.OK if self.is_healthy() else HTTPStatus.SERVICE_UNAVAILABLE
             self._respond(request, status, HTTPHeaders(), b"")
             return
+        if self.stopped:
+            self._reject_unread(request, {"X-Not-Run": "1"})
+            return
         if not self.admit():
-            headers = HTTPHeaders({"Retry-After": str(math.ceil(OVERLOAD_RETRY_AFTER_S))})
-            self._respond(request, self.listen.reject_status, headers, b"not looked at\n")
+            self._reject_unread(request, {})
             return
-        subrequest = Subrequest(self, request.remote_ip or UNIX_PEER, request)
+        subrequest = Subrequest(self, peer, request)
         try:
             await self._consult(subrequest)
         except asyncio.CancelledError:
@@ -172,6 +179,12 @@
             if not subrequest.has_run:  # otherwise its lease goes on, and ends the run
                 subrequest.closed()
 
+    def _reject_unread(self, request: HTTPServerRequest, fields: dict[str, str]) -> None:
+        """Reject a request that is not passed on to the core."""
+        headers = HTTPHeaders(fields)
+        headers["Retry-After"] = str(math.ceil(OVERLOAD_RETRY_AFTER_S))
+        self._respond(request, self.listen.reject_status, headers, b"not looked at\n")
+
     async def _consult(self, subrequest: Subrequest) -> None:
         """Wait for the verdict and respond with it, unless the proxy closes the connection first."""
         connection = _http_connection(subrequest.request)
@@ -192,7 +205,7 @@
             connection.write_headers(start_line, headers, body)
             connection.finish()
         except (OSError, StreamClosedError):
-            self.log.event("proxy_gone", peer=request.remote_ip)
+            self.log.event("proxy_gone", listener=self.listen.name)
 
 
 def _http_connection(request: HTTPServerRequest) -> HTTP1Connection:
--- /dev/null
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -0,0 +1,144 @@
+"""A connection of a proxy that asks by HTTP subrequests, one at a time; Tornado parses them.
+
+How the connection is accepted, kept and closed is the same as for other callers: see `Connection` and
+`Listener`.  A request whose first byte has arrived is answered before the connection closes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import TypeAlias
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerRequest,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
+
+from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
+from shelfhaven.frontends.stream import DetachableStream
+from shelfhaven.operator_config import Listen
+from shelfhaven.protocol import http
+from shelfhaven.server.log import Log
+
+MAX_HEADER_BYTES = 32 * 1024
+IDLE_TIMEOUT_S = 60.0  # after which a connection without a request is closed
+NOT_RUN = ("X-Not-Run", "1")
+
+Handler: TypeAlias = Callable[[HTTPServerRequest], Awaitable[None]]
+
+
+class SubrequestConnection(Connection):
+    """Actor of one connection of a proxy.
+
+    Attributes:
+        handle: serves one request and writes its response to the request's connection, unless that is closed.
+    """
+
+    def __init__(self, stream: DetachableStream, listen: Listen, handle: Handler, log: Log) -> None:
+        super().__init__(stream, log)
+        stream.detach_on_close()  # also where the HTTP library closes it
+        self.handle = handle
+        self.message_timeout = listen.request_timeout
+        self.parameters = HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=listen.consult.max_body_bytes,
+            header_timeout=IDLE_TIMEOUT_S,
+            body_timeout=listen.request_timeout,
+        )
+        self.request_ref = 0  # of the current or last request
+        self.task: asyncio.Task[None] | None = None  # serves the current or last request
+
+    @property
+    def has_partial_message(self) -> bool:
+        """Whether part of a request has been read, or all of one that follows an unanswered one."""
+        return self.stream.has_unread_bytes
+
+    def is_message_overdue(self, now: float) -> bool:
+        """Whether the first request, or the rest of an incomplete one, has not come in time."""
+        if self.unanswered or not (self.silent or self.has_partial_message):
+            self.message_awaited_since = now  # an incomplete request can only begin after this
+            return False
+        return super().is_message_overdue(now)
+
+    def is_evictable(self, now: float) -> bool:
+        """Whether the connection can be closed at once: it is idle, and its first request has come."""
+        return not self.silent and super().is_evictable(now)
+
+    def announce_shutdown(self) -> None:
+        """Do nothing: HTTP can say this only in a response."""
+
+    async def _serve(self) -> None:
+        """Read and serve requests until the stream ends."""
+        while self.state is ConnectionState.OPEN and not self.stream.closed():
+            connection = HTTP1Connection(self.stream, False, self.parameters)
+            reader = _RequestReader(connection, self._begin_request)
+            try:
+                await connection.read_response(reader)
+            except StreamClosedError as error:
+                if not isinstance(error.real_error, UnsatisfiableReadError):
+                    raise
+                self._reject_headers()
+            finally:
+                if self.task:
+                    await asyncio.wait([self.task])
+
+    def _begin_request(self, request: HTTPServerRequest) -> None:
+        self._record_message()
+        self.request_ref += 1
+        self.unanswered.add(self.request_ref)
+        self.task = asyncio.get_running_loop().create_task(self._serve_request(request, self.request_ref))
+
+    async def _serve_request(self, request: HTTPServerRequest, request_ref: int) -> None:
+        try:
+            await self.handle(request)
+        finally:
+            self.unanswered.discard(request_ref)
+            self.last_used_at = asyncio.get_running_loop().time()
+            self._close_if_done()
+
+    def _reject_headers(self) -> None:
+        """Answer a request whose headers are too large; the library has ended the stream without a word."""
+        error = UnreadableStreamError("headers too large", HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self.log.event("connection_broken", error=str(error), open=0)
+        if self.stream.detached_socket:
+            with contextlib.suppress(OSError):
+                self.stream.detached_socket.send(self._encode_unreadable(error))
+
+    def _cancel_unanswered(self) -> None:
+        if self.task:
+            self.task.cancel()
+
+    def _encode_unreadable(self, error: UnreadableStreamError) -> bytes:
+        status = error.code or HTTPStatus.BAD_REQUEST
+        return http.encode_response(status, [NOT_RUN], f"{error}\n".encode(), close=True)
+
+
+class _RequestReader(HTTPMessageDelegate):
+    """Receives one request from the library; its body is discarded."""
+
+    def __init__(
+        self, connection: HTTP1Connection, begin_request: Callable[[HTTPServerRequest], None]
+    ) -> None:
+        self.connection = connection
+        self.begin_request = begin_request
+        self.request: HTTPServerRequest | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Receive the headers."""
+        assert isinstance(start_line, RequestStartLine)
+        self.request = HTTPServerRequest(connection=self.connection, start_line=start_line, headers=headers)
+
+    def finish(self) -> None:
+        """Receive the end of the request."""
+        assert self.request
+        self.begin_request(self.request)
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -21,13 +21,8 @@
 
 import orjson
 
-from shelfhaven.frontends.connection import (
-    READ_BYTES,
-    Connection,
-    ConnectionState,
-    NotifyCore,
-    UnreadableStreamError,
-)
+from shelfhaven.frontends.connection import ConnectionState, UnreadableStreamError
+from shelfhaven.frontends.message_connection import READ_BYTES, MessageConnection, NotifyCore
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.operator_config import Listen
 from shelfhaven.protocol import http
@@ -50,7 +45,7 @@
 ATTEMPT_ID_BYTES = 8  # written in hex, like the attempt ids of routers
 
 
-class GatewayConnection(Connection):
+class GatewayConnection(MessageConnection):
     """Actor of one gateway's connection; it carries one request at a time."""
 
     def __init__(
--- a/shelfhaven/program/composition.py
+++ b/shelfhaven/program/composition.py
@@ -80,7 +80,9 @@
         if listen.protocol is ListenProtocol.JSON_RPC:
             dependencies.listeners.add_router_listener(listen.address, listen.max_connections)
         elif listen.protocol.is_for_proxies:
-            composition.proxies = composition.proxies or Proxies(dependencies.core, dependencies.log)
+            composition.proxies = composition.proxies or Proxies(
+                dependencies.core, dependencies.descriptors, dependencies.log
+            )
             composition.proxies.add_listener(listen, mappings.by_name[listen.mapping])
         else:
             dependencies.listeners.add_gateway_listener(listen, mappings.by_name[listen.mapping])
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -29,6 +29,8 @@
 
 MAX_LISTEN_ATTEMPTS = 200  # 20 seconds in total, which the previous process may take to free the address
 LISTEN_RETRY_INTERVAL_S = 0.1
+# of the stop time, during which proxies may still connect; what they have sent gets its verdict in the rest
+DRAIN_LISTENING_FRACTION = 0.5
 
 
 class Listeners(Component):
@@ -140,10 +142,11 @@
 class Proxies(Component):
     """Listeners for proxies, and the runner that represents the requests that the proxies run."""
 
-    def __init__(self, core: Core, log: Log) -> None:
+    def __init__(self, core: Core, descriptors: Descriptors, log: Log) -> None:
         from shelfhaven.backends.proxy import ProxyRunner
 
         self.core = core
+        self.descriptors = descriptors
         self.log = log
         self.runner: ProxyRunner = ProxyRunner(core.config.settings.cores, core.put, log)
         self.proxy_listeners: list[ProxyListener] = []
@@ -159,6 +162,7 @@
             log=self.log,
             is_healthy=self._is_healthy,
             cores=self.core.config.limits.cores,
+            descriptors=self.descriptors,
         )
         if listen.protocol is ListenProtocol.EXTERNAL_PROCESSING:
             from shelfhaven.frontends.extproc import ExternalProcessingListener
@@ -179,9 +183,13 @@
             await proxy_listener.start()
 
     def begin_drain(self) -> None:
-        """Begin the drain of all listeners."""
+        """Begin the drain of all listeners; those for subrequests stop listening before the closing phase."""
         for proxy_listener in self.proxy_listeners:
             proxy_listener.begin_drain()
+            if proxy_listener.stops_listening_early:
+                listening_time = DRAIN_LISTENING_FRACTION * self.core.config.stop
+                stop_listening = proxy_listener.stop_listening
+                asyncio.get_running_loop().call_later(listening_time, stop_listening, listening_time)
 
     def stop_listening(self, left: float) -> None:
         """Accept no new consultations; those that are open may finish within `left` seconds."""
@@ -193,13 +201,12 @@
         return sum(proxy_listener.open_requests() for proxy_listener in self.proxy_listeners)
 
     def has_connections(self) -> bool:
-        """Return whether a consultation is open."""
-        return bool(self.open_requests())
+        """Return whether a proxy is connected that may still get a verdict."""
+        return any(proxy_listener.has_connections() for proxy_listener in self.proxy_listeners)
 
-    async def disconnect(self, _left: float) -> None:
-        """Close all listeners and open consultations at once."""
-        for proxy_listener in self.proxy_listeners:
-            await proxy_listener.end()
+    async def disconnect(self, left: float) -> None:
+        """Close all connections of proxies within `left` seconds."""
+        await asyncio.gather(*(proxy_listener.end(left) for proxy_listener in self.proxy_listeners))
 
     def status(self) -> StatusFields:
         """Return the load of each listener, for the log."""
--- a/tests/frontends/proxy_nodes.py
+++ b/tests/frontends/proxy_nodes.py
@@ -52,7 +52,7 @@
             node.task.cancel()
         await asyncio.gather(node.task, return_exceptions=True)
         for processor in node.app.proxy_listeners:
-            await processor.end()
+            await processor.end(0.0)
         node.backends[0].stop()
         node.folder.cleanup()
 
--- a/tests/frontends/test_consulting.py
+++ b/tests/frontends/test_consulting.py
@@ -21,6 +21,7 @@
 from shelfhaven.routing import processor_policy
 from shelfhaven.routing.processor_policy import ConsultationStage, ConsultSettings
 from shelfhaven.server import messages
+from shelfhaven.server.descriptors import Descriptors
 from tests.peers import run_async
 
 LEASE_S = 0.02
@@ -36,7 +37,7 @@
     def stop_listening(self, time_left: float) -> None:
         """Do nothing, as there is no socket."""
 
-    async def end(self) -> None:
+    async def end(self, time_left: float) -> None:
         """Do nothing, as nothing is open."""
 
 
@@ -66,7 +67,7 @@
         log: Any = SimpleNamespace(event=lambda event, **_: self.events.append(event))
         settings = ConsultSettings(verdict_timeout=VERDICT_TIMEOUT_S, lease=LEASE_S, max_streams=max_streams)
         listen = Listen("p", ListenProtocol.EXTERNAL_PROCESSING, Path("p.sock"), consult=settings)
-        context = ProxyListenerContext(runner, self.notified.append, log, lambda: True, 1.0)
+        context = ProxyListenerContext(runner, self.notified.append, log, lambda: True, 1.0, Descriptors(100))
         mapping: Any = None  # unused: no request is mapped in these tests
         self.listener = Listener(listen, mapping, context)
 
--- /dev/null
+++ b/tests/frontends/test_subrequest_connections.py
@@ -0,0 +1,153 @@
+"""Connections of proxies that ask by subrequests: how they end, in a drain and otherwise."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from shelfhaven.config import Address
+from shelfhaven.frontends.subrequest import SubrequestListener
+from shelfhaven.lab.callers import Reply, connect, read_reply, until
+from tests.frontends.proxy_nodes import ProxyNode
+from tests.frontends.test_subrequest import running_subrequest_node
+from tests.peers import run_async
+
+REQUEST = b"GET /balance/1 HTTP/1.1\r\nHost: x\r\n\r\n"
+REJECTED = 403  # the default of `refuse-status`
+
+
+@contextlib.asynccontextmanager
+async def subrequest_listener(**changes: Any) -> AsyncIterator[tuple[ProxyNode, SubrequestListener, Address]]:
+    async with running_subrequest_node(**changes) as (node, address):
+        listener = node.app.proxy_listeners[1]
+        assert isinstance(listener, SubrequestListener)
+        yield node, listener, address
+
+
+async def read_from(sock: socket.socket) -> Reply:
+    reader, writer = await asyncio.open_connection(sock=sock)
+    try:
+        return await read_reply(reader)
+    finally:
+        writer.close()
+
+
+async def read_end(reader: asyncio.StreamReader) -> bytes:
+    """Return what comes until the peer ends its stream; a reset raises ConnectionResetError."""
+    return await asyncio.wait_for(reader.read(), 5.0)
+
+
+def test_requests_in_the_backlog_get_a_verdict_when_the_listener_stops() -> None:
+    # guards against consultations without a verdict in a drain (docs/incidents/verdicts-lost-in-a-drain.md)
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            waiting = []
+            for _ in range(50):  # the event loop does not run, so none is accepted
+                waiting.append(socket.create_connection((address.host, address.port)))
+                waiting[-1].sendall(REQUEST)
+            listener.stop_listening(0.0)
+            replies = await asyncio.gather(*(read_from(sock) for sock in waiting))
+            assert {(reply.status, reply.not_run) for reply in replies} == {(REJECTED, True)}
+            assert all(reply.retry_after or "retry-after" in reply.fields for reply in replies)
+            with pytest.raises(ConnectionRefusedError):
+                await connect(address)
+
+    run_async(check)
+
+
+def test_a_drain_answers_what_was_sent_and_ends_silent_connections_in_order() -> None:
+    async def check() -> None:
+        async with subrequest_listener(stop="1s") as (node, listener, address):
+            silent_reader, _ = await connect(address)
+            partial_reader, partial_writer = await connect(address)
+            partial_writer.write(REQUEST[:10])
+            kept_reader, kept_writer = await connect(address)
+            kept_writer.write(REQUEST)
+            assert (await read_reply(kept_reader)).status == 200
+            await until(lambda: len(listener.listener.connections) == 3)
+            node.app.request_drain()
+            await until(lambda: listener.stopped)
+            partial_writer.write(REQUEST[10:])
+            reply = await read_reply(partial_reader)
+            assert (reply.status, reply.not_run) == (REJECTED, True)
+            assert await read_end(silent_reader) == b""
+            assert await read_end(kept_reader) == b""
+            await asyncio.wait_for(node.task, 5.0)
+
+    run_async(check)
+
+
+def test_a_request_sent_just_before_the_connections_close_is_answered() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            reader, writer = await connect(address)
+            await until(lambda: listener.listener.connections)
+            listener.stop_listening(0.0)
+            writer.write(REQUEST)  # unread when the connections are asked to close
+            closing = asyncio.ensure_future(listener.end(1.0))
+            assert (await read_reply(reader)).not_run
+            assert await read_end(reader) == b""
+            await closing
+            assert not listener.has_connections()
+
+    run_async(check)
+
+
+def test_a_connection_that_sends_no_whole_request_is_answered_in_time() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            listener.listen = replace(listener.listen, request_timeout=0.2)
+            for start in (b"", REQUEST[:10]):
+                reader, writer = await connect(address)
+                writer.write(start)
+                reply = await asyncio.wait_for(read_reply(reader), 3.0)
+                assert (reply.status, reply.not_run) == (408, True)
+                assert await read_end(reader) == b""
+            await until(lambda: not listener.has_connections())
+
+    run_async(check)
+
+
+def test_headers_over_the_limit_are_answered() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, _, address):
+            reader, writer = await connect(address)
+            writer.write(b"GET / HTTP/1.1\r\n" + b"X-Filler: %b\r\n" % (b"x" * 64 * 1024))
+            assert (await read_reply(reader)).status == 431
+            writer.close()
+
+    run_async(check)
+
+
+def test_a_new_connection_is_not_evicted_before_its_first_request() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            reader, writer = await connect(address)
+            await until(lambda: listener.listener.connections)
+            (connection,) = listener.listener.connections
+            late = connection.last_used_at + 1.0
+            assert not connection.is_evictable(late)
+            writer.write(REQUEST)
+            await read_reply(reader)
+            assert connection.is_evictable(connection.last_used_at + 1.0)
+
+    run_async(check)
+
+
+def test_connections_of_proxies_count_as_descriptors_of_the_node() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (node, listener, address):
+            before = node.app.descriptors.inbound
+            _, writer = await connect(address)
+            await until(lambda: node.app.descriptors.inbound == before + 1)
+            writer.close()
+            await until(lambda: node.app.descriptors.inbound == before)
+            assert not listener.has_connections()
+
+    run_async(check)
