Drain: the grace and the stop time count from the signal, not from its handling

Cause: the grace counted from when the core handled the notice, the stop time from the event loop's callback; whatever holds the process up before that moved both. A test that holds the event loop up for 0.3 s between signal and handling showed it: a request from after the grace ran.

A signal sent while the process is stopped is received only when it goes on.

Test: tests/server/test_signals.py, which failed on the code before (the late request was served); a request from within the grace still runs.

--- a/shelfhaven/decision/controller.py
+++ b/shelfhaven/decision/controller.py
@@ -60,7 +60,7 @@
             case events.TimerFired():
                 self._handle_timer(now, event)
             case events.DrainStarted():
-                self._handle_drain(now, event.time_left)
+                self._handle_drain(now, event)
             case events.ServerStarted():
                 self._handle_start(now)
             case _:
@@ -128,10 +128,10 @@
         if request.state is not RequestState.FINISHED:
             self._lifecycle.set_new_request_timers(now, request)
 
-    def _handle_drain(self, now: float, time_left: float) -> None:
+    def _handle_drain(self, now: float, event: events.DrainStarted) -> None:
         """Start to drain: run no arrivals after the grace, and answer every request before the stop."""
         shutdown = self.state.shutdown
-        shutdown.start(now, time_left, self.state.concurrency.idle_fraction)
+        shutdown.start(now, event, self.state.concurrency.idle_fraction)
         latest_answer_at = shutdown.stops_at - self.answer_margin
         for request in list(self._requests.by_id.values()):
             request.due_at = min(request.due_at, latest_answer_at)
--- a/shelfhaven/decision/events.py
+++ b/shelfhaven/decision/events.py
@@ -93,9 +93,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainStarted:
-    """The server starts to drain; the process will be stopped after `time_left` seconds."""
+    """The server starts to drain; the process will be stopped after `time_left` seconds.
+
+    `elapsed`: seconds since the notice, from which the grace counts.
+    """
 
     time_left: float
+    elapsed: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/shelfhaven/decision/graceful_shutdown.py
+++ b/shelfhaven/decision/graceful_shutdown.py
@@ -5,6 +5,7 @@
 import math
 
 from shelfhaven.decision.concurrency_limit import SPARE_IDLE_FRACTION
+from shelfhaven.decision.events import DrainStarted
 from shelfhaven.decision.inputs import positive_or_zero
 from shelfhaven.decision.settings import Settings
 
@@ -26,17 +27,17 @@
         """Whether the drain has started."""
         return self.started_at != math.inf
 
-    def start(self, now: float, time_left: float, idle_fraction: float) -> None:
-        """Start the drain of a process that ends in `time_left` seconds.
+    def start(self, now: float, event: DrainStarted, idle_fraction: float) -> None:
+        """Start the drain.  The grace counts from the notice, however late that is handled.
 
         Callers are told at once only if the other servers, assumed to be as busy as this one, can take over
         its load.  Otherwise they are told after the grace: a server that replaces this one becomes known to
         callers only after a delay.
         """
-        self.started_at = now
-        self.stops_at = now + positive_or_zero(time_left)
+        self.started_at = now - positive_or_zero(event.elapsed)
+        self.stops_at = now + positive_or_zero(event.time_left)
         others_lack_capacity = idle_fraction * self._replicas < 1 + SPARE_IDLE_FRACTION
-        self.advertises_closed_at = now + (self._grace if others_lack_capacity else 0.0)
+        self.advertises_closed_at = self.started_at + (self._grace if others_lack_capacity else 0.0)
 
     def arrived_too_late(self, arrived_at: float) -> bool:
         """Return whether a request arrived after the grace and must not run."""
--- a/shelfhaven/program/app.py
+++ b/shelfhaven/program/app.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+import math
 import signal
 import time
 import traceback
@@ -15,6 +16,7 @@
 from dataclasses import fields, replace
 from enum import Enum
 from pathlib import Path
+from types import FrameType
 from typing import TYPE_CHECKING
 
 from shelfhaven import config
@@ -85,6 +87,7 @@
         listeners = ListenerGroup(self.listeners)
         self.core.actors.connect(self._runners(), self.peers.ledger, self.peers.members, listeners)
         self.drain_requested = asyncio.Event()
+        self.noticed_at = math.inf  # when a signal to drain was received, on the monotonic clock
         self.stop_at = 0.0  # deadline of the shutdown on the monotonic clock, 0 until a drain is requested
         self.closing_duration = 0.0  # seconds: the listeners close this long before `stop_at`
         self.status_timer: asyncio.TimerHandle | None = None
@@ -167,6 +170,9 @@
     def _handle_signals(self, loop: asyncio.AbstractEventLoop) -> None:
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.request_drain)
+            # runs at once, while the event loop may be held up before it calls `request_drain`
+            signal.signal(signal_number, self._record_notice)
+            signal.siginterrupt(signal_number, False)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         # the parent process may have blocked these signals, and a drain would never begin
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
@@ -212,14 +218,20 @@
         self.files = Files(config_in_force, new.operator)
         self.log.event("reloaded", moved=changed_addresses, kept_until_restart=pending_restart)
 
+    def _record_notice(self, _signal_number: int, _frame: FrameType | None) -> None:
+        """Record when the first notice was received."""
+        self.noticed_at = min(self.noticed_at, time.monotonic())
+
     def request_drain(self) -> None:
         """Begin the graceful shutdown; has no effect if it has begun already."""
         if self.drain_requested.is_set():
             return
         stop_time = self.config.stop
-        self.stop_at = time.monotonic() + stop_time
+        noticed_at = min(self.noticed_at, time.monotonic())
+        self.stop_at = noticed_at + stop_time
         self.closing_duration = min(MAX_CLOSING_S, CLOSING_FRACTION * stop_time)
-        self.core.put(messages.BeginDrain(stop_time - SENDING_FRACTION * self.closing_duration))
+        answer_by = self.stop_at - SENDING_FRACTION * self.closing_duration
+        self.core.put(messages.BeginDrain(noticed_at, answer_by))
         self.drain_requested.set()
 
     async def _drain(self) -> None:
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -174,7 +174,9 @@
         self.draining = True
         self.actors.membership.put(messages.ReportStatus(False))
         self._start()
-        self.pending_events.append(DrainStarted(drain.time_left))
+        now = self.clocks.monotonic()
+        time_left = max(0.0, drain.answer_by - now)
+        self.pending_events.append(DrainStarted(time_left, max(0.0, now - drain.noticed_at)))
 
     # The controller
 
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -361,9 +361,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginDrain:
-    """Begin to drain the server."""
+    """Begin to drain the server; both times are monotonic seconds."""
 
-    time_left: float  # seconds until the process exits
+    noticed_at: float  # when the notice was received
+    answer_by: float  # when all requests have to be answered
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/server/core_harness.py
+++ b/tests/server/core_harness.py
@@ -67,6 +67,10 @@
     def send(self, message: messages.CoreMessage) -> None:
         self.core._handle(message)
 
+    def begin_drain(self, time_left: float) -> None:
+        """Begin a drain whose notice has just been received."""
+        self.send(messages.BeginDrain(self.now, self.now + time_left))
+
     def submit(
         self,
         request_ref: int,
--- a/tests/server/test_core.py
+++ b/tests/server/test_core.py
@@ -232,7 +232,7 @@
     harness: CoreHarness,
 ) -> None:
     harness.submit(1)
-    harness.send(messages.BeginDrain(1.0))
+    harness.begin_drain(1.0)
     assert harness.membership.received[-1] == messages.ReportStatus(False)
     harness.submit(2)  # within the grace, so it runs
     assert len(harness.launched_attempts()) == 2
@@ -338,7 +338,7 @@
                 harness.send(messages.RunsLost(harness.runner))
             case "drain" if not draining:
                 draining = True
-                harness.send(messages.BeginDrain(2.0))
+                harness.begin_drain(2.0)
             case "health":
                 harness.send(messages.CheckHealth(harness.frontend, 10_000))
             case "pass-again":
--- a/tests/server/test_signals.py
+++ b/tests/server/test_signals.py
@@ -7,9 +7,11 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import orjson
+import pytest
 
 from shelfhaven import __main__ as command_line
 from shelfhaven.lab import platform
@@ -84,3 +86,22 @@
             assert jsonrpc.FAILED not in [message.get("error", {}).get("code") for message in router.received]
 
     run_async(check)
+
+
+def test_the_grace_and_the_stop_count_from_the_signal_although_the_event_loop_is_held_up() -> None:
+    # guards against runs after the grace of a drain (docs/incidents/run-after-the-grace.md)
+    async def check() -> None:
+        async with running_server(stop_ms=1500) as server:  # the grace is 0.2 s
+            router = await server.router()
+            await until(lambda: server.app.listener.connections)
+            noticed_at, noticed_at_unix = time.monotonic(), time.time()
+            os.kill(os.getpid(), signal.SIGTERM)
+            time.sleep(0.3)  # between the signal and its handling by the event loop
+            router.request(1, recv=int((noticed_at_unix + 0.1) * 1000))
+            router.request(2)
+            assert "result" in await router.answer(1)
+            assert (await router.answer(2))["error"]["code"] == jsonrpc.REJECTED
+            assert len(server.agent.launched) == 1
+            assert server.app.stop_at == pytest.approx(noticed_at + 1.5, abs=0.1)
+
+    run_async(check)
