--- a/shelfhaven/backends/agent_commands.py
+++ b/shelfhaven/backends/agent_commands.py
@@ -68,8 +68,8 @@
 
     def add(self, command: wire.RunCommand) -> PendingCommand:
         """Add a command, which replaces an earlier one for the same run."""
-        earlier = self.pending.get(command.run_id)
-        may_repeat = earlier is not None and earlier.state is CommandState.UNCONFIRMED
+        replaced = self.pending.get(command.run_id)
+        may_repeat = replaced is not None and replaced.state is CommandState.UNCONFIRMED
         pending = PendingCommand(command, may_repeat=may_repeat)
         self.pending[command.run_id] = pending
         return pending
--- a/shelfhaven/frontends/listener.py
+++ b/shelfhaven/frontends/listener.py
@@ -188,7 +188,7 @@
         These are the connections that only wait for their peer's end of stream; if there are none, a few
         idle ones in eviction order.
         """
-        closing = [c for c in self.connections if c.state is ConnectionState.CLOSING]
+        closing = [item for item in self.connections if item.state is ConnectionState.CLOSING]
         evicted = closing or self._connections_to_evict()
         for connection in evicted:
             connection.abort()
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -122,6 +122,7 @@
 
     def _make_connection(self, stream: DetachableStream, peer: str) -> SubrequestConnection:
         async def handle(request: HTTPServerRequest) -> None:
+            """Serve one request of this peer."""
             await self._serve(request, peer)
 
         return SubrequestConnection(stream, self.listen, handle, self.log)
--- a/shelfhaven/lab/state_node.py
+++ b/shelfhaven/lab/state_node.py
@@ -22,7 +22,7 @@
 MAX_STALL = 10.0  # seconds after which a stalled commit continues by itself
 KEY_TTL = 8.0  # seconds
 DEADLINE = 3.0  # seconds
-EARLIER_DIGEST = b"\xff" * 16  # a digest in the earlier format, of which there are no records
+LEGACY_DIGEST = b"\xff" * 16  # a digest in the earlier format, of which there are no records
 
 
 def key(number: int) -> bytes:
@@ -109,7 +109,7 @@
 
     def remaining_validity(self, number: int) -> float:
         """Return how many seconds a key of an earlier incarnation remains valid; 0 if not recorded."""
-        previous = self.state.find_previous(key(number), EARLIER_DIGEST, KEY_TTL)
+        previous = self.state.find_previous(key(number), LEGACY_DIGEST, KEY_TTL)
         return max((found.valid_for for found in previous if found.is_recorded), default=0.0)
 
     def uncertain_for(self) -> float:
--- a/shelfhaven/server/actors.py
+++ b/shelfhaven/server/actors.py
@@ -30,11 +30,11 @@
     """Stores idempotency keys so that they outlive the process."""
 
     def find_previous(
-        self, key_digest: bytes, earlier_digest: bytes, key_ttl: float
+        self, key_digest: bytes, legacy_digest: bytes, key_ttl: float
     ) -> list[messages.PreviousKey]:
         """Return the unexpired keys of runs of this request that a previous incarnation may have started.
 
-        There may be several if the attempt does not convey all that tells them apart.  `earlier_digest` is
+        There may be several if the attempt does not convey all that tells them apart.  `legacy_digest` is
         the key's digest in the records of versions that did not keep the location apart.
         """
 
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -14,6 +14,7 @@
 from shelfhaven.server import key_digests, messages
 from shelfhaven.server.actors import KeyStore
 from shelfhaven.server.clocks import Clocks
+from shelfhaven.server.key_digests import NamedKey
 from shelfhaven.server.key_table import KeyEntry, KeyTable
 from shelfhaven.server.request import NEVER_STARTED_OUTCOMES, Request, RequestContent, RequestKey
 from shelfhaven.server.request_table import RequestTable
@@ -152,7 +153,7 @@
         """Return the digest of a request's key in the key store; empty if it may run more than once."""
         submission = request.submission
         if not request.key_digest and submission.idempotency_key and request.runs_once_per_key:
-            request.key_digest = key_digests.stored_digest(*self._names(submission), request.content)
+            request.key_digest = key_digests.stored_digest(self._named_key(submission), request.content)
         return request.key_digest
 
     def reservation_digest(self, request: Request) -> bytes:
@@ -160,7 +161,7 @@
         submission = request.submission
         if not (self.reserved_in_fleet and submission.idempotency_key and request.runs_once_per_key):
             return b""
-        return key_digests.reservation_digest(*self._names(submission), submission)
+        return key_digests.reservation_digest(self._named_key(submission), submission)
 
     def _restore_from_store(self, request: Request, store: KeyStore, is_duplicate: bool) -> bool:
         """Add the keys that a previous incarnation ran, or may have run, to the table, if they are not there.
@@ -169,10 +170,10 @@
         new request ids, which the controller does not know.  Returns whether a key was added.
         """
         submission = request.submission
-        earlier_digest = key_digests.reservation_digest(*self._names(submission), submission)
+        legacy_digest = key_digests.reservation_digest(self._named_key(submission), submission)
         key_ttl = request.class_settings.key_ttl
         restored = False
-        for previous in store.find_previous(self.key_digest_of(request), earlier_digest, key_ttl):
+        for previous in store.find_previous(self.key_digest_of(request), legacy_digest, key_ttl):
             key = _key_of_previous(request, previous)
             if key in self.table or (is_duplicate and not previous.is_recorded):
                 continue
@@ -214,10 +215,9 @@
     def _deadline_of(self, key: RequestKey) -> float:
         return self.config.settings.classes[key.name.class_index].deadline
 
-    def _names(self, submission: messages.SubmitRequest) -> tuple[str, str, str]:
-        """Return class name, tenant name and idempotency key, as digests take them."""
+    def _named_key(self, submission: messages.SubmitRequest) -> NamedKey:
         class_name = self.config.classes[submission.class_index]
-        return class_name, self._tenant_name(submission), submission.idempotency_key
+        return NamedKey(class_name, self._tenant_name(submission), submission.idempotency_key)
 
     def _tenant_name(self, submission: messages.SubmitRequest) -> str:
         names = self.config.tenants
--- a/shelfhaven/server/key_digests.py
+++ b/shelfhaven/server/key_digests.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from typing import NamedTuple
 
 from shelfhaven.server import messages
 from shelfhaven.server.request import (
@@ -21,9 +22,17 @@
 BODY_UNKNOWN = b"no body"  # in place of the digest of a body, which has another length
 
 
-def stored_digest(class_name: str, tenant: str, idempotency_key: str, content: RequestContent) -> bytes:
+class NamedKey(NamedTuple):
+    """An idempotency key with the names, not the indices, of its class and tenant."""
+
+    class_name: str
+    tenant: str
+    idempotency_key: str
+
+
+def stored_digest(key: NamedKey, content: RequestContent) -> bytes:
     """Return the digest of a key in the key store."""
-    digest = _name_hash(class_name, tenant, idempotency_key)
+    digest = _name_hash(key)
     digest.update(BODY_UNKNOWN if content.body is None else content.body)
     location = UNKNOWN_LOCATION if content.location is None else content.location
     return digest.digest() + location
@@ -40,17 +49,15 @@
     return len(digest) > NAME_DIGEST_BYTES
 
 
-def reservation_digest(
-    class_name: str, tenant: str, idempotency_key: str, submission: messages.SubmitRequest
-) -> bytes:
+def reservation_digest(key: NamedKey, submission: messages.SubmitRequest) -> bytes:
     """Return the digest of a key in reservations of the fleet, and in key stores of earlier versions."""
-    digest = _name_hash(class_name, tenant, idempotency_key)
+    digest = _name_hash(key)
     digest.update(content_digest(submission))
     return digest.digest()
 
 
-def _name_hash(*texts: str) -> hashlib.blake2b:
+def _name_hash(key: NamedKey) -> hashlib.blake2b:
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in texts:
+    for text in key:
         digest.update(b"%d\0%b" % (len(text), text.encode()))
     return digest
--- a/shelfhaven/state/previous_incarnation.py
+++ b/shelfhaven/state/previous_incarnation.py
@@ -27,7 +27,7 @@
 BYTE_ORDER: Literal["big"] = "big"
 UNKNOWN_LOCATION_NUMBER = int.from_bytes(UNKNOWN_LOCATION, BYTE_ORDER)
 # in place of the location of a record whose digest does not keep it apart
-EARLIER_FORMAT = 1
+LEGACY_FORMAT = 1
 
 
 class PreviousIncarnation:
@@ -51,16 +51,16 @@
         """Note that all keys have been read; keys not among them stay uncertain until `uncertain_until`."""
         self.uncertain_until = uncertain_until
 
-    def find(self, now: float, digest: bytes, earlier_digest: bytes, key_ttl: float) -> list[PreviousKey]:
+    def find(self, now: float, digest: bytes, legacy_digest: bytes, key_ttl: float) -> list[PreviousKey]:
         """Return the unexpired keys that have run, or may have, and may be of the request with this digest.
 
-        `earlier_digest` is the digest of the request in the earlier format.  There are several if the keys
+        `legacy_digest` is the digest of the request in the earlier format.  There are several if the keys
         differ in a location that the request does not convey.  A key that is only uncertain would have run
         before the start, so it counts for at most its TTL.
         """
         recorded = [
             PreviousKey(self.expiries[index] - now, self._digest_at(index, found))
-            for found in (digest, earlier_digest)
+            for found in (digest, legacy_digest)
             for index in self._matches(found)
             if self.expiries[index] > now
         ]
@@ -94,7 +94,7 @@
     def _digest_at(self, index: int, found: bytes) -> bytes:
         """Return the digest of the key at a position, which was found by another digest of its request."""
         location = self.locations[index]
-        if location == EARLIER_FORMAT:
+        if location == LEGACY_FORMAT:
             return found
         return found[:NAME_DIGEST_BYTES] + location.to_bytes(len(UNKNOWN_LOCATION), BYTE_ORDER)
 
@@ -116,10 +116,10 @@
 
 def _location(digest: bytes) -> int:
     location = digest[NAME_DIGEST_BYTES:]
-    return int.from_bytes(location, BYTE_ORDER) if location else EARLIER_FORMAT
+    return int.from_bytes(location, BYTE_ORDER) if location else LEGACY_FORMAT
 
 
 def _may_be_same_location(first: int, second: int) -> bool:
-    if EARLIER_FORMAT in (first, second):
+    if LEGACY_FORMAT in (first, second):
         return first == second
     return first == second or UNKNOWN_LOCATION_NUMBER in (first, second)
--- a/tests/server/test_core_durability.py
+++ b/tests/server/test_core_durability.py
@@ -34,13 +34,13 @@
         self.confirms_outcomes = True
 
     def find_previous(
-        self, key_digest: bytes, earlier_digest: bytes, key_ttl: float
+        self, key_digest: bytes, legacy_digest: bytes, key_ttl: float
     ) -> list[messages.PreviousKey]:
         name, location = key_digest[:NAME_DIGEST_BYTES], key_digest[NAME_DIGEST_BYTES:]
         found = [
             messages.PreviousKey(valid_for, digest)
             for digest, valid_for in self.previous.items()
-            if digest in (key_digest, earlier_digest)
+            if digest in (key_digest, legacy_digest)
             or (digest.startswith(name) and UNKNOWN_LOCATION in (location, digest[NAME_DIGEST_BYTES:]))
         ]
         if found:
--- a/tests/state/test_previous_incarnation.py
+++ b/tests/state/test_previous_incarnation.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from shelfhaven.lab.state_node import EARLIER_DIGEST, key
+from shelfhaven.lab.state_node import LEGACY_DIGEST, key
 from shelfhaven.server.key_digests import UNKNOWN_LOCATION
 from shelfhaven.server.messages import PreviousKey
 from shelfhaven.state.previous_incarnation import PreviousIncarnation
@@ -20,11 +20,11 @@
     assert previous.remaining(50.0, key(4)) == 54.0
     assert previous.remaining(50.0, key(5)) == previous.remaining(50.0, key(1001)) == 0.0
     assert previous.remaining(200.0, key(4)) == 0.0
-    assert previous.find(10.0, key(4), EARLIER_DIGEST, 8.0) == [PreviousKey(94.0, key(4))]
-    assert previous.find(10.0, key(5), EARLIER_DIGEST, 8.0) == [
+    assert previous.find(10.0, key(4), LEGACY_DIGEST, 8.0) == [PreviousKey(94.0, key(4))]
+    assert previous.find(10.0, key(5), LEGACY_DIGEST, 8.0) == [
         PreviousKey(8.0, b"")
     ], "an uncertain key counts for its TTL at most"
-    assert previous.find(31.0, key(5), EARLIER_DIGEST, 8.0) == []
+    assert previous.find(31.0, key(5), LEGACY_DIGEST, 8.0) == []
     previous.forget_expired(1000.0)
     assert previous.remaining(1000.0, key(998)) == 98.0
     previous.forget_expired(1100.0)
@@ -33,7 +33,7 @@
 
 NAME, OTHER_NAME = b"n" * 16, b"o" * 16
 LOCATION, OTHER_LOCATION = b"l" * 8, b"m" * 8
-EARLIER = b"e" * 16
+LEGACY = b"e" * 16
 
 
 @pytest.mark.parametrize(
@@ -50,7 +50,7 @@
             [NAME + LOCATION, NAME + OTHER_LOCATION],
         ),
         ([NAME + UNKNOWN_LOCATION, NAME + LOCATION], NAME + LOCATION, [NAME + LOCATION]),
-        ([EARLIER], NAME + LOCATION, [EARLIER]),
+        ([LEGACY], NAME + LOCATION, [LEGACY]),
     ],
 )
 def test_a_key_is_found_by_what_both_attempts_convey(
@@ -60,5 +60,5 @@
     for digest in sorted(recorded):
         previous.add(digest, 100.0)
     previous.mark_loaded(0.0)
-    assert [item.digest for item in previous.find(10.0, asked, EARLIER, 8.0)] == found
-    assert previous.find(100.0, asked, EARLIER, 8.0) == []
+    assert [item.digest for item in previous.find(10.0, asked, LEGACY, 8.0)] == found
+    assert previous.find(100.0, asked, LEGACY, 8.0) == []
