After a second reading: errors while a subrequest is served, and smaller corrections

Found by reading the change once more: - A subrequest whose handling raises got no response, and its connection stayed; it gets 500 and the connection ends in order (test: fails without the change, the reply never comes).

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -31,6 +31,7 @@
 from shelfhaven.lab.etcd_stub import EtcdStub
 from shelfhaven.lab.fleet import FileValues, Fleet, FleetNode, fleet
 from shelfhaven.lab.state_crashes import search
+from shelfhaven.server.key_digests import UNKNOWN_LOCATION
 from shelfhaven.state.previous_incarnation import PreviousIncarnation
 from shelfhaven.state.records import KeyRecord, PutRecord, RunState, encode_label
 from shelfhaven.state.store import Store
@@ -322,7 +323,7 @@
     slowest = 0.0
     for number in range(LOOKUP_COUNT):
         started_at = time.perf_counter()
-        previous.remaining(2.0, digest(number))
+        previous.find(2.0, digest(number) + UNKNOWN_LOCATION, digest(number), 0.0)
         slowest = max(slowest, time.perf_counter() - started_at)
     return slowest
 
--- a/shelfhaven/backends/agent.py
+++ b/shelfhaven/backends/agent.py
@@ -334,9 +334,8 @@
         self.commands.sample_answered(sampled.tag)
         if sampled.tag == self.replay_tag:
             self._finish_replay()
-        elif sampled.tag == SWITCH_TAG:
-            if self.stream:
-                self.stream.close()  # the next connection goes to the new address
+        elif self.state is LinkState.SWITCHING and sampled.tag == SWITCH_TAG and self.stream:
+            self.stream.close()  # the next connection goes to the new address
         else:
             self.tell(messages.GaugesSampled(sampled.tag, sampled.values))
 
--- a/shelfhaven/decision/downstream.py
+++ b/shelfhaven/decision/downstream.py
@@ -32,8 +32,8 @@
 # Fraction of the mean run time that remains after the call.
 RUN_FRACTION_AFTER_CALL = 0.5
 
-# Multiple of its usual time after which a run that may not have got the reply to its call is taken to wait
-# for it in vain.  The rest of a run is only a part of it, but run times vary.
+# Multiple of the usual run time after which a run that may not have got the reply to its call is assumed to
+# wait for it still.  The rest of a run is only a part of it, but run times vary.
 PROGRESS_RUN_MULTIPLE = 2.0
 
 # Seconds before retrying a call that is known not to have run, as each attempt costs work downstream.
--- a/shelfhaven/decision/request_lifecycle.py
+++ b/shelfhaven/decision/request_lifecycle.py
@@ -147,7 +147,7 @@
         self.actions.append(SetTimer(progress_time, progress_token(request.id), request.id))
 
     def check_progress(self, now: float, request: Request) -> None:
-        """Give up a request whose run has shown no progress since the reply to its call went astray."""
+        """Give up a request whose run has shown no progress after an unconfirmed reply to its call."""
         if now >= request.progress_due_at - self._settings.tick:
             self.give_up(now, request)
 
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -123,7 +123,8 @@
     def _make_connection(self, stream: DetachableStream, peer: str) -> SubrequestConnection:
         async def handle(request: HTTPServerRequest) -> None:
             """Serve one request of this peer."""
-            await self._serve(request, peer)
+            request.remote_ip = peer
+            await self._serve(request)
 
         return SubrequestConnection(stream, self.listen, handle, self.log)
 
@@ -159,7 +160,7 @@
         self._stop_load_measurement()
         await self.listener.close_connections(time_left)
 
-    async def _serve(self, request: HTTPServerRequest, peer: str) -> None:
+    async def _serve(self, request: HTTPServerRequest) -> None:
         if request.path == self.listen.health_path:
             status = HTTPStatus.OK if self.is_healthy() else HTTPStatus.SERVICE_UNAVAILABLE
             self._respond(request, status, HTTPHeaders(), b"")
@@ -170,7 +171,7 @@
         if not self.admit():
             self._reject_unread(request, {})
             return
-        subrequest = Subrequest(self, peer, request)
+        subrequest = Subrequest(self, request.remote_ip or "", request)
         try:
             await self._consult(subrequest)
         except asyncio.CancelledError:
@@ -206,7 +207,7 @@
             connection.write_headers(start_line, headers, body)
             connection.finish()
         except (OSError, StreamClosedError):
-            self.log.event("proxy_gone", listener=self.listen.name)
+            self.log.event("proxy_gone", peer=request.remote_ip)
 
 
 def _http_connection(request: HTTPServerRequest) -> HTTP1Connection:
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TypeAlias
@@ -22,6 +23,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from shelfhaven.backends.failure_boundary import FailureBoundary
 from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.operator_config import Listen
@@ -30,7 +32,6 @@
 
 MAX_HEADER_BYTES = 32 * 1024
 IDLE_TIMEOUT_S = 60.0  # after which a connection without a request is closed
-NOT_RUN = ("X-Not-Run", "1")
 
 Handler: TypeAlias = Callable[[HTTPServerRequest], Awaitable[None]]
 
@@ -86,9 +87,8 @@
                 if not isinstance(error.real_error, UnsatisfiableReadError):
                     raise
                 self._reject_headers()
-            finally:
-                if self.task:
-                    await asyncio.wait([self.task])
+            if self.task:
+                await asyncio.wait([self.task])
 
     def _begin_request(self, request: HTTPServerRequest) -> None:
         self._record_message()
@@ -97,15 +97,21 @@
         self.task = asyncio.get_running_loop().create_task(self._serve_request(request, self.request_ref))
 
     async def _serve_request(self, request: HTTPServerRequest, request_ref: int) -> None:
+        is_served = False
         try:
-            await self.handle(request)
+            with FailureBoundary(self.log, "proxy_failed"):
+                await self.handle(request)
+                is_served = True
         finally:
             self.unanswered.discard(request_ref)
-            self.last_used_at = asyncio.get_running_loop().time()
-            self._close_if_done()
+            self.last_used_at = time.monotonic()
+        if not is_served:
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            self.fail_unreadable(UnreadableStreamError("an error in this server", status))
+        self._close_if_done()
 
     def _reject_headers(self) -> None:
-        """Answer a request whose headers are too large; the library has ended the stream without a word."""
+        """Answer a request whose headers are too large; the library has closed the stream already."""
         error = UnreadableStreamError("headers too large", HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         self.log.event("connection_broken", error=str(error), open=0)
         if self.stream.detached_socket:
@@ -118,7 +124,7 @@
 
     def _encode_unreadable(self, error: UnreadableStreamError) -> bytes:
         status = error.code or HTTPStatus.BAD_REQUEST
-        return http.encode_response(status, [NOT_RUN], f"{error}\n".encode(), close=True)
+        return http.encode_response(status, [http.NOT_RUN], f"{error}\n".encode(), close=True)
 
 
 class _RequestReader(HTTPMessageDelegate):
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -37,7 +37,6 @@
 FAILED = 502
 DEADLINE_PASSED = 504
 INVALID = 400
-NOT_RUN = ("X-Not-Run", "1")
 PLAIN_TEXT = ("Content-Type", "text/plain; charset=utf-8")
 # A lingering close, as in nginx, reads and discards input before the socket is closed.
 LINGERING_CLOSE_TIMEOUT_S = 1.0
@@ -132,7 +131,7 @@
         if self.unanswered:
             return b""
         return http.encode_response(
-            error.code or INVALID, [PLAIN_TEXT, NOT_RUN], f"{error}\n".encode(), close=True
+            error.code or INVALID, [PLAIN_TEXT, http.NOT_RUN], f"{error}\n".encode(), close=True
         )
 
     def _encode(self, answer: messages.Answer) -> bytes:
@@ -145,11 +144,11 @@
                 fields = [("Content-Type", self.listen.content_type), *load]
                 return http.encode_response(SERVED, fields, answer.body, close)
             case messages.RejectedAnswer():
-                fields = [*load, PLAIN_TEXT, NOT_RUN, *_retry_fields(answer)]
+                fields = [*load, PLAIN_TEXT, http.NOT_RUN, *_retry_fields(answer)]
                 return http.encode_response(REJECTED, fields, b"refused; nothing ran\n", close)
             case messages.FailedAnswer():
                 status = answer.code or (DEADLINE_PASSED if answer.deadline_passed else FAILED)
-                not_run = [NOT_RUN] if answer.code else []  # a code is set only for invalid requests
+                not_run = [http.NOT_RUN] if answer.code else []  # a code is set only for invalid requests
                 return http.encode_response(
                     status, [*load, PLAIN_TEXT, *not_run], f"{answer.text}\n".encode(), close
                 )
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -187,9 +187,11 @@
         for proxy_listener in self.proxy_listeners:
             proxy_listener.begin_drain()
             if proxy_listener.stops_listening_early:
-                listening_time = DRAIN_LISTENING_FRACTION * self.core.config.stop
-                stop_listening = proxy_listener.stop_listening
-                asyncio.get_running_loop().call_later(listening_time, stop_listening, listening_time)
+                stop = self.core.config.stop
+                listening_time = DRAIN_LISTENING_FRACTION * stop
+                asyncio.get_running_loop().call_later(
+                    listening_time, proxy_listener.stop_listening, stop - listening_time
+                )
 
     def stop_listening(self, left: float) -> None:
         """Accept no new consultations; those that are open may finish within `left` seconds."""
--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -20,6 +20,7 @@
 FIRST_FINAL_STATUS = 200  # a smaller status is interim: the final response follows
 STATUS_DIGITS = 3
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)  # RFC 9112, section 6.3
+NOT_RUN = ("X-Not-Run", "1")  # field of a response to a request that did not run
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
--- a/shelfhaven/server/event_translation.py
+++ b/shelfhaven/server/event_translation.py
@@ -99,7 +99,7 @@
         if submission.idempotency_key:
             request.content = request_content(submission)
         age = max(0.0, self.clocks.wall() - submission.received_at)
-        self.keys.find_original(request, self.clocks.monotonic() - age)
+        self.keys.set_original(request, self.clocks.monotonic() - age)
         self.requests.add(request)
         self.emit(self._arrival(request, age))
 
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -1,8 +1,7 @@
 """Idempotency keys of requests, in the table of this process and in the durable key store, if there is one.
 
-This module finds the original of a duplicate, and records the intent
-before the run of a keyed request and the outcome after it.  Without a key store, keys are lost when the
-process ends.
+This module finds the original of a duplicate, and records the intent before the run of a keyed request and
+the outcome after it.  Without a key store, keys are lost when the process ends.
 """
 
 from __future__ import annotations
@@ -44,7 +43,7 @@
 
     # Originals and duplicates
 
-    def find_original(self, request: Request, reached_at: float) -> None:
+    def set_original(self, request: Request, reached_at: float) -> None:
         """Set the original of a request that is a duplicate: the attempt that holds its key.
 
         `reached_at` is the monotonic time at which the request reached this machine.  A request that may be a
@@ -225,7 +224,11 @@
 
 
 def _key_of_previous(request: Request, previous: messages.PreviousKey) -> RequestKey:
-    """Return the key of a run of a previous incarnation that the request may repeat."""
+    """Return the key of a run of a previous incarnation that the request may repeat.
+
+    It is that of the request if the location of the run is not known apart: of a legacy record, or of a key
+    that only may have run.
+    """
     if not key_digests.has_location(previous.digest):
         return request.key
     location = key_digests.location_of(previous.digest)
--- a/shelfhaven/state/previous_incarnation.py
+++ b/shelfhaven/state/previous_incarnation.py
@@ -70,18 +70,6 @@
         uncertain_for = min(key_ttl, self.uncertain_for(now))
         return [PreviousKey(uncertain_for, b"")] if uncertain_for > 0 else []
 
-    def remaining(self, now: float, digest: bytes) -> float:
-        """Return the seconds until a recorded key expires, or 0 if it is expired or not recorded."""
-        location = _location(digest)
-        return max(
-            (
-                self.expiries[index] - now
-                for index in self._matches(digest)
-                if self.locations[index] == location and self.expiries[index] > now
-            ),
-            default=0.0,
-        )
-
     def _matches(self, digest: bytes) -> list[int]:
         """Return the positions of the keys that may be of the request with this digest."""
         prefix, location = _prefix(digest), _location(digest)
--- a/tests/frontends/test_subrequest_connections.py
+++ b/tests/frontends/test_subrequest_connections.py
@@ -151,3 +151,43 @@
             assert not listener.has_connections()
 
     run_async(check)
+
+
+def test_a_request_whose_handling_fails_gets_an_error_and_its_connection_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            events: list[str] = []
+            monkeypatch.setattr(listener.log, "event", lambda event, **_: events.append(event))
+
+            async def fail(_: object) -> None:
+                raise ValueError("a fault of the program")
+
+            monkeypatch.setattr(listener, "_consult", fail)
+            reader, writer = await connect(address)
+            writer.write(REQUEST)
+            reply = await read_reply(reader)
+            assert (reply.status, reply.not_run) == (500, True)
+            assert await read_end(reader) == b""
+            assert "proxy_failed" in events
+            await until(lambda: not listener.has_connections())
+
+    run_async(check)
+
+
+def test_silent_proxies_that_fill_the_descriptors_lock_out_nobody_for_long() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (node, _, address):
+            silent = [await connect(address) for _ in range(8)]
+            node.app.descriptors.max_inbound = 4  # all in use, and four more wait to be accepted
+            router = await node.connect_router()
+            router.send({"jsonrpc": "2.0", "id": 1, "method": "alive"})
+            reader, writer = await connect(address)
+            writer.write(REQUEST)
+            async with asyncio.timeout(5.0):
+                assert (await read_reply(reader)).status == 200
+                assert "result" in await router.answer(1)
+            assert len(silent) == 8
+
+    run_async(check)
--- a/tests/server/test_core_faults.py
+++ b/tests/server/test_core_faults.py
@@ -36,7 +36,7 @@
     assert len(harness.core.timers)  # the control interval continues
 
 
-@pytest.mark.parametrize("method", ["find_original", "wall"])
+@pytest.mark.parametrize("method", ["set_original", "wall"])
 @with_harness
 def test_a_request_whose_submission_raises_is_answered(harness: CoreHarness, method: str) -> None:
     owner = harness.core.clocks if method == "wall" else harness.core.keys
--- a/tests/state/test_previous_incarnation.py
+++ b/tests/state/test_previous_incarnation.py
@@ -17,16 +17,17 @@
         previous.add(key(number), 100.0 + number)
     previous.mark_loaded(30.0)
     assert (previous.uncertain_for(10.0), previous.uncertain_for(31.0)) == (20.0, 0.0)
-    assert previous.remaining(50.0, key(4)) == 54.0
-    assert previous.remaining(50.0, key(5)) == previous.remaining(50.0, key(1001)) == 0.0
-    assert previous.remaining(200.0, key(4)) == 0.0
+    assert previous.find(50.0, key(4), LEGACY_DIGEST, 8.0) == [PreviousKey(54.0, key(4))]
+    assert previous.find(50.0, key(5), LEGACY_DIGEST, 8.0) == []
+    assert previous.find(50.0, key(1001), LEGACY_DIGEST, 8.0) == []
+    assert previous.find(200.0, key(4), LEGACY_DIGEST, 8.0) == []
     assert previous.find(10.0, key(4), LEGACY_DIGEST, 8.0) == [PreviousKey(94.0, key(4))]
     assert previous.find(10.0, key(5), LEGACY_DIGEST, 8.0) == [
         PreviousKey(8.0, b"")
     ], "an uncertain key counts for its TTL at most"
     assert previous.find(31.0, key(5), LEGACY_DIGEST, 8.0) == []
     previous.forget_expired(1000.0)
-    assert previous.remaining(1000.0, key(998)) == 98.0
+    assert previous.find(1000.0, key(998), LEGACY_DIGEST, 8.0) == [PreviousKey(98.0, key(998))]
     previous.forget_expired(1100.0)
     assert not previous.prefixes
 
