Request keys in a module of their own, and one way to add texts to a digest

server/request.py held the state machines of a request and what identifies it; the second part, which has grown, is server/request_key.py. Two modules hashed lists of texts alike; both use add_texts. Digests are as they were: the pinned tests of stored data and wire bytes pass.

--- a/shelfhaven/server/event_translation.py
+++ b/shelfhaven/server/event_translation.py
@@ -22,8 +22,9 @@
 from shelfhaven.server import messages
 from shelfhaven.server.actors import ConnectedActors
 from shelfhaven.server.clocks import Clocks
-from shelfhaven.server.request import Request, WorkState, request_content
+from shelfhaven.server.request import Request, WorkState
 from shelfhaven.server.request_completion import RequestCompletion
+from shelfhaven.server.request_key import request_content
 from shelfhaven.server.run_launcher import RunLauncher
 
 MIN_TIME_LEFT = 1e-6  # seconds; the controller takes 0 to mean that no time was given
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -15,7 +15,8 @@
 from shelfhaven.server.clocks import Clocks
 from shelfhaven.server.key_digests import NamedKey
 from shelfhaven.server.key_table import KeyEntry, KeyTable
-from shelfhaven.server.request import NEVER_STARTED_OUTCOMES, Request, RequestContent, RequestKey
+from shelfhaven.server.request import NEVER_STARTED_OUTCOMES, Request
+from shelfhaven.server.request_key import RequestContent, RequestKey
 from shelfhaven.server.request_table import RequestTable
 from shelfhaven.server.result_store import ResultStore
 
--- a/shelfhaven/server/key_digests.py
+++ b/shelfhaven/server/key_digests.py
@@ -10,10 +10,11 @@
 from typing import NamedTuple
 
 from shelfhaven.server import messages
-from shelfhaven.server.request import (
+from shelfhaven.server.request_key import (
     DIGEST_BYTES,
     LOCATION_DIGEST_BYTES,
     RequestContent,
+    add_texts,
     content_digest,
 )
 
@@ -58,6 +59,5 @@
 
 def _name_hash(key: NamedKey) -> hashlib.blake2b:
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in key:
-        digest.update(b"%d\0%b" % (len(text), text.encode()))
+    add_texts(digest, key)
     return digest
--- a/shelfhaven/server/key_table.py
+++ b/shelfhaven/server/key_table.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from shelfhaven.server.request import KeyName, RequestKey
+from shelfhaven.server.request_key import KeyName, RequestKey
 from shelfhaven.server.result_store import ResultStore
 
 
--- a/shelfhaven/server/request.py
+++ b/shelfhaven/server/request.py
@@ -7,16 +7,13 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple
 
 from shelfhaven.decision.settings import ClassSettings, Outcome, RetrySafety
 from shelfhaven.server import messages
+from shelfhaven.server.request_key import NO_CONTENT, KeyName, RequestContent, RequestKey
 
-DIGEST_BYTES = 16  # 128 bits make an accidental collision of two keys of a fleet negligible
-LOCATION_DIGEST_BYTES = 8  # compared only between attempts with the same key
 NEVER_STARTED_OUTCOMES = (Outcome.REJECTED, Outcome.CONNECT_FAILED)  # the run never started
 FAILED_OUTCOMES = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)  # the run may have had its effect
 
@@ -46,73 +43,6 @@
 STARTED_STATES = (WorkState.RUNNING, WorkState.CALL_REQUESTED, WorkState.CALLING)
 
 
-class RequestContent(NamedTuple):
-    """Digests of what a request asks for, as far as the protocol of its attempt conveys it.
-
-    Attributes:
-        body: digest of the body; None if the attempt came without its request's body.
-        location: digest of the path and query parts that distinguish requests with one key; None if the
-            protocol has neither path nor query.
-    """
-
-    body: bytes | None
-    location: bytes | None
-
-    def may_equal(self, other: RequestContent) -> bool:
-        """Whether both may be the content of one request: nothing that both convey differs."""
-        return _may_equal(self.body, other.body) and _may_equal(self.location, other.location)
-
-
-NO_CONTENT = RequestContent(None, None)
-
-
-def _may_equal(first: bytes | None, second: bytes | None) -> bool:
-    return first is None or second is None or first == second
-
-
-class KeyName(NamedTuple):
-    """An idempotency key, which belongs to a class and a tenant."""
-
-    class_index: int
-    tenant: int
-    idempotency_key: str
-
-
-class RequestKey(NamedTuple):
-    """What all attempts of one request by one protocol have in common.
-
-    An attempt of another tenant, or with other content, belongs to another request, even if it has the same
-    idempotency key.  Attempts by another protocol may convey less of the content or more.
-    """
-
-    name: KeyName
-    content: RequestContent
-
-
-def request_content(submission: messages.SubmitRequest) -> RequestContent:
-    """Return the digests of a submission's content."""
-    body = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES).digest()
-    location = None
-    if submission.attributes:
-        location = _location_digest(submission.attributes.identity_parts)
-    return RequestContent(body if submission.body_known else None, location)
-
-
-def _location_digest(identity_parts: tuple[str, ...]) -> bytes:
-    digest = hashlib.blake2b(digest_size=LOCATION_DIGEST_BYTES)
-    for text in identity_parts:
-        digest.update(b"%d\0%b" % (len(text), text.encode()))
-    return digest.digest()
-
-
-def content_digest(submission: messages.SubmitRequest) -> bytes:
-    """Return a digest of the body and of the path and query parts, for keys outside of this process."""
-    digest = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES)
-    for text in submission.attributes.identity_parts if submission.attributes else ():
-        digest.update(b"\0%d\0%b" % (len(text), text.encode()))
-    return digest.digest()
-
-
 @dataclass(slots=True)
 class Request:
     """One attempt, from its arrival until it is answered and its work is finished.
--- a/shelfhaven/server/result_store.py
+++ b/shelfhaven/server/result_store.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 
-from shelfhaven.server.request import RequestKey
+from shelfhaven.server.request_key import RequestKey
 
 
 class ResultStore:
--- a/tests/server/test_key_table.py
+++ b/tests/server/test_key_table.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from shelfhaven.server.key_table import KeyEntry, KeyTable
-from shelfhaven.server.request import KeyName, RequestContent, RequestKey
+from shelfhaven.server.request_key import KeyName, RequestContent, RequestKey
 from shelfhaven.server.result_store import ResultStore
 
 
--- a/tests/server/test_request.py
+++ b/tests/server/test_request.py
@@ -8,7 +8,8 @@
 
 from shelfhaven.decision.settings import ClassSettings, Outcome
 from shelfhaven.server import messages
-from shelfhaven.server.request import AnswerState, Request, WorkState, content_digest
+from shelfhaven.server.request import AnswerState, Request, WorkState
+from shelfhaven.server.request_key import content_digest
 from shelfhaven.server.request_table import RequestTable
 from tests.server.core_harness import CoreHarness, with_harness
 
