--- a/shelfhaven/server/request_key.py
+++ b/shelfhaven/server/request_key.py
@@ -81,7 +81,7 @@
 
 
 def content_digest(submission: messages.SubmitRequest) -> bytes:
-    """Return one digest of the body and of the path and query parts, as other nodes and old records have it."""
+    """Return one digest of body, path and query parts, as other nodes and old records have it."""
     digest = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES)
     for text in submission.attributes.identity_parts if submission.attributes else ():
         digest.update(b"\0%d\0%b" % (len(text), text.encode()))
