--- a/shelfhaven/failover/actor.py
+++ b/shelfhaven/failover/actor.py
@@ -188,6 +188,7 @@
             by=policy.decided_by,
             away={zone: round(zone_policy.diverted_fraction, 3) for zone, zone_policy in diverted.items()},
             by_hand=[zone for zone, zone_policy in diverted.items() if not zone_policy.automatic],
+            loads={zone: round(zone_policy.load, 3) for zone, zone_policy in policy.zones.items()},
         )
 
     def _update_in_force(self, now: float) -> None:
