Consultations by stream: in a drain, hold responses until the end can be announced

Callers saw streams reset (CANCELLED, or INTERNAL while sending) when a node drained in a flood: 710 of some 31,800 consultations with 240 at a time over two nodes and eight drains, all within 50 ms of the closing phase.

Cause: stopping the gRPC server resets what its application has not taken up, and what arrives until the proxies have read the announcement. Streams that were not admitted did not count as open, and the stop was not awaited.

It holds responses until no stream has come for 30 ms and only takes up what arrives, announces its end, then goes on with all (routing/stream_shutdown.py decides; 0.8 of the verdict budget a stream at most). Streams to be rejected count as open and have a limit of time. The server's stop is awaited.

--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -69,8 +69,8 @@
 
     Attributes:
         answer_counts: answers of the core since they were last logged.
-        stops_listening_early: whether connections in its backlog are accepted before it stops listening, so
-            that it can stop in time to answer them all.
+        stops_listening_early: whether it stops listening well before the closing phase, so that there is time
+            to answer all that was sent before.
     """
 
     stops_listening_early = False
@@ -165,10 +165,11 @@
 
     sends_body = True
 
-    def __init__(self, listener: ProxyListener, peer: str) -> None:
+    def __init__(self, listener: ProxyListener, peer: str, waited: float = 0.0) -> None:
+        """`waited`: seconds for which the listener knew of the consultation before."""
         self.listener = listener
         self.peer = peer
-        lag = listener.loop_lag.lag_at(time.monotonic())
+        lag = max(waited, listener.loop_lag.lag_at(time.monotonic()))
         self.received_at = time.time() - lag
         self.consultation = processor_policy.Consultation(
             listener.settings,
--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -35,14 +35,19 @@
 from shelfhaven.protocol.pb import extproc_pb2
 from shelfhaven.routing import processor_policy
 from shelfhaven.routing.request_mapping import MappingError, RequestMapping
+from shelfhaven.routing.stream_shutdown import ResponseHold
 from shelfhaven.server import messages
 
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
+ANNOUNCEMENT_TIME_S = 0.01  # after which the end is announced on each connection, before what is sent later
+HOLD_CHECK_INTERVAL_S = 0.005
+OPEN_STREAMS_FRACTION = 0.85  # of the time left to the server, in which streams may end by themselves
 HEALTH_SERVICE = "grpc.health.v1.Health"
 SERVING = b"\x08\x01"  # a HealthCheckResponse: its only field, with the status SERVING
 NOT_SERVING = b"\x08\x02"
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_METADATA_BYTES = 32 * 1024
+STALL_TEXT = "nothing was sent or taken in time"
 TRACEBACK_FRAMES = -4  # a negative limit keeps the innermost frames
 
 # Limits of the gRPC library, as multiples of the number of streams that this server admits.  They are above
@@ -64,13 +69,15 @@
 
     Attributes:
         buffered_bytes: bytes of this stream that the listener counts as buffered.
+        started_at: time on the monotonic clock at which the listener took it up.
         headers_received: whether the request headers, with which a stream begins, have been received.
         body_requested: whether the proxy was asked to send the complete request body.
     """
 
-    def __init__(self, listener: ProxyListener, peer: str) -> None:
-        super().__init__(listener, peer)
+    def __init__(self, listener: ProxyListener, peer: str, started_at: float) -> None:
+        super().__init__(listener, peer, waited=time.monotonic() - started_at)
         self.buffered_bytes = 0
+        self.started_at = started_at
         self.headers_received = False
         self.body_requested = False
 
@@ -184,9 +191,14 @@
         rejection: the encoded response to a stream that is not admitted.  It does not promise that a retry is
             safe, as the request is not read.
         port: the port that the server is bound to, once it has started.
+        hold: determines how long responses are held before the listener announces its end.
+        announced: set once the listener has announced its end.
+        unadmitted: number of streams that wait to be admitted, or for their rejection.
         stopping: the graceful stop of the server, once it has begun.
     """
 
+    stops_listening_early = True
+
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         super().__init__(listen, mapping, context)
         verdict = processor_policy.ImmediateResponse(
@@ -198,7 +210,10 @@
         self.rejection = extproc_messages.encode_immediate(verdict, load=None, content_type="")
         self.server: grpc.aio.Server | None = None
         self.port = 0
-        self.stopping: asyncio.Future[None] | None = None
+        self.hold = ResponseHold(self.settings.verdict_budget)
+        self.announced = asyncio.Event()
+        self.unadmitted = 0
+        self.stopping: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen.
@@ -215,15 +230,55 @@
         self._measure_load()
 
     def stop_listening(self, time_left: float) -> None:
-        """Accept no new streams, announce that on each connection, and let open streams end."""
+        """Announce on each connection that no new streams are accepted, and let open streams end."""
         if self.server and not self.stopping:
-            self.stopping = asyncio.ensure_future(self.server.stop(time_left))
+            self.stopping = asyncio.ensure_future(self._stop_server(self.server, time_left))
+
+    def open_requests(self) -> int:
+        """Return the number of streams without an end, admitted or not."""
+        return super().open_requests() + self.unadmitted
 
     async def end(self, _time_left: float) -> None:
         """Close all open streams."""
         self._stop_load_measurement()
+        self._end_hold()
         if self.server:
             await self.server.stop(0)
+        if self.stopping:
+            await self.stopping
+
+    async def _stop_server(self, server: grpc.aio.Server, time_left: float) -> None:
+        """Hold responses until no streams arrive, announce the end, and send them; then end the server."""
+        stop_at = time.monotonic() + OPEN_STREAMS_FRACTION * time_left
+        self.hold.begin(time.monotonic())
+        while not self.hold.ended and not self.hold.is_over(time.monotonic()):
+            await asyncio.sleep(HOLD_CHECK_INTERVAL_S)
+        stopped = asyncio.ensure_future(server.stop(max(0.0, stop_at - time.monotonic())))
+        await asyncio.sleep(ANNOUNCEMENT_TIME_S)
+        self._end_hold()
+        await stopped
+
+    def _end_hold(self) -> None:
+        self.hold.end()
+        self.announced.set()
+
+    async def _wait_while_held(self, started_at: float) -> None:
+        """Wait while the responses to a stream are held; `started_at`: when it was taken up."""
+        hold_time = self.hold.time_left(time.monotonic(), started_at)
+        if hold_time > 0:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(hold_time):
+                    await self.announced.wait()
+
+    async def _send(self, context: StreamContext, response: bytes, started_at: float) -> None:
+        """Send a response, which may be held first.
+
+        Raises:
+            TimeoutError: the response was not taken in time.
+        """
+        await self._wait_while_held(started_at)
+        async with asyncio.timeout(self.settings.verdict_timeout):
+            await context.write(response)
 
     def _make_server(self) -> grpc.aio.Server:
         max_streams = self.settings.max_streams
@@ -263,18 +318,40 @@
         return SERVING if self.is_healthy() and not self.draining else NOT_SERVING
 
     async def _process(self, _requests: object, context: StreamContext) -> None:
-        """Serve one stream and handle its end, however it ends."""
-        if not self.admit():
-            if await context.read() is not grpc.aio.EOF:
-                await context.write(self.rejection)
-            return
-        stream = ExternalProcessingStream(self, _peer_host(context.peer()))
+        """Serve one stream.  While responses are held, it is only taken up, so that this is soon over."""
+        started_at = time.monotonic()
+        self.hold.stream_started(started_at)
+        self.unadmitted += 1
+        try:
+            await self._wait_while_held(started_at)
+            is_admitted = self.admit()
+            if not is_admitted:
+                await self._reject(context, started_at)
+        finally:
+            self.unadmitted -= 1
+        if is_admitted:
+            stream = ExternalProcessingStream(self, _peer_host(context.peer()), started_at)
+            await self._serve_to_end(stream, context)
+
+    async def _reject(self, context: StreamContext, started_at: float) -> None:
+        """Answer the first message of a stream that is not admitted, without looking at it."""
+        try:
+            async with asyncio.timeout(self.listen.request_timeout):
+                data = await context.read()
+            if data is not grpc.aio.EOF:
+                await self._send(context, self.rejection, started_at)
+        except TimeoutError:
+            with contextlib.suppress(grpc.aio.AbortError):
+                await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, STALL_TEXT)
+
+    async def _serve_to_end(self, stream: ExternalProcessingStream, context: StreamContext) -> None:
+        """Serve an admitted stream and handle its end, however it ends."""
         try:
             await self._serve(stream, context)
         except TimeoutError:  # releases the resources of a proxy that has stopped sending or reading
             self.log.event("proxy_stalls", peer=stream.peer, stage=stream.consultation.stage.value)
             with contextlib.suppress(grpc.aio.AbortError):
-                await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "nothing was sent or taken in time")
+                await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, STALL_TEXT)
         except (DecodeError, UnexpectedMessageError) as error:
             self.log.event("proxy_unreadable", peer=stream.peer, error=str(error))
             with contextlib.suppress(grpc.aio.AbortError):
@@ -297,8 +374,7 @@
         while (data := await self._read(stream, context)) is not None:
             response = await stream.respond_to(data)
             if response:
-                async with asyncio.timeout(self.settings.verdict_timeout):
-                    await context.write(response)
+                await self._send(context, response, stream.started_at)
 
     async def _read(self, stream: ExternalProcessingStream, context: StreamContext) -> bytes | None:
         """Return the next message; None at the end of the stream.
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -183,7 +183,7 @@
             await proxy_listener.start()
 
     def begin_drain(self) -> None:
-        """Begin the drain of all listeners; those for subrequests stop listening before the closing phase."""
+        """Begin the drain of all listeners, which stop listening before the closing phase."""
         for proxy_listener in self.proxy_listeners:
             proxy_listener.begin_drain()
             if proxy_listener.stops_listening_early:
