Ledger: a late second copy of a reply is told by its content and dropped

Change: a reply that equals one the connection has brought before is a copy: dropped and logged (ledger_copy), no reuse for ten seconds. Connections are reused only where that is certain: after a reply that none of the ledger's last 64 equals, not for the same request, 256 calls at most.

Tests: on the code before, the third call completes with the first one's body; the other side: a ledger whose replies are all alike, and equal replies to two calls of one request, are answered. Older tests that count connections have replies that differ now, and count one connection more, the first.

--- a/shelfhaven/backends/ledger.py
+++ b/shelfhaven/backends/ledger.py
@@ -2,8 +2,9 @@
 
 A call is never sent twice, and a call is reported as not run only if that is certain. Data is not accepted as
 the reply to a call if another call may have caused it: a connection stays idle for a while after each reply,
-and is reused only if no data arrived meanwhile. After a connection received unexpected data or broke while
-idle, no connection is reused for some time.
+and is reused only if no data arrived meanwhile and if a later copy of its replies could be told from the
+reply to the next call (`reply_copies.py`). After a connection received unexpected data or broke while idle,
+no connection is reused for some time.
 """
 
 from __future__ import annotations
@@ -13,12 +14,13 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TypeAlias
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from shelfhaven.backends.failure_boundary import FailureBoundary
+from shelfhaven.backends.reply_copies import ConnectionHistory, RecentReplies, ReplyKind, kind_of
 from shelfhaven.config import Address
 from shelfhaven.decision.settings import Outcome
 from shelfhaven.protocol import http
@@ -61,6 +63,7 @@
         timer: timeout of the call.
         idle_since: time at which the connection last became idle; 0 if it never did.
         closed_locally: whether this side closed the connection.
+        history: the calls and replies so far.
     """
 
     stream: IOStream
@@ -70,6 +73,7 @@
     timer: asyncio.TimerHandle | None = None
     idle_since: float = 0.0
     closed_locally: bool = False
+    history: ConnectionHistory = field(default_factory=ConnectionHistory)
 
     def close(self) -> None:
         """Close the connection, which ends its call."""
@@ -95,6 +99,7 @@
         idle: idle connections that may be reused, longest idle first.
         reusable_from: time before which no connection is reused.
         queue: calls that wait for a connection, oldest first.
+        recent_replies: the latest replies from `address`.
     """
 
     def __init__(
@@ -116,6 +121,7 @@
         self.idle: deque[LedgerConnection] = deque()
         self.reusable_from = 0.0
         self.queue: deque[QueuedCall] = deque()
+        self.recent_replies = RecentReplies()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def put(self, message: LedgerMessage) -> None:
@@ -127,6 +133,7 @@
         if address == self.address:
             return
         self.address = address
+        self.recent_replies = RecentReplies()
         self._close_idle()
         for connection in list(self.connections):
             call = connection.call
@@ -157,7 +164,7 @@
         """Assign queued calls to idle connections, or to new ones if file descriptors are available."""
         while self.queue and self.address:
             now = time.monotonic()
-            if connection := self._reusable_connection(now):
+            if connection := self._reusable_connection(now, self.queue[0].call.attempt_id):
                 self._assign_next_call(connection, now)
                 self._send(connection)
                 continue
@@ -211,20 +218,20 @@
 
     # Reuse of connections
 
-    def _reusable_connection(self, now: float) -> LedgerConnection | None:
-        """Return a connection that has been idle for long enough and has received no data meanwhile."""
+    def _reusable_connection(self, now: float, attempt_id: str) -> LedgerConnection | None:
+        """Return a connection for a call, idle for long enough and without data meanwhile."""
         while self.idle and now - self.idle[0].idle_since > MIN_IDLE_TIME:
             connection = self.idle.popleft()
             if connection.stream.closed():
                 continue
-            if now - connection.idle_since < MAX_IDLE_TIME:
+            if now - connection.idle_since < MAX_IDLE_TIME and connection.history.allows_call(attempt_id):
                 if peek(connection.stream.socket) is None:
                     return connection
                 self._disable_reuse()
             connection.close()
         return None
 
-    def _return_to_idle(self, connection: LedgerConnection, is_clean: bool) -> None:
+    def _return_to_idle(self, connection: LedgerConnection, reply: ReplyKind, is_clean: bool) -> None:
         """Keep a connection for reuse after a reply, if it may be reused.
 
         `is_clean` is whether it received nothing but the reply.
@@ -232,8 +239,11 @@
         now = time.monotonic()
         if not is_clean:
             self._disable_reuse()
+        connection.history.reply_received(reply)
+        is_current = connection.address == self.address
+        is_distinctive = is_current and self.recent_replies.add(reply)
         descriptor_needed = self.descriptors.inbound_waiting or self.queue  # for another connection
-        if descriptor_needed or connection.address != self.address or now < self.reusable_from:
+        if descriptor_needed or not is_distinctive or now < self.reusable_from:
             connection.close()
             return
         connection.idle_since = now
@@ -280,13 +290,19 @@
             data = await connection.stream.read_bytes(READ_SIZE, partial=True)
             if connection.call is None:
                 raise http.StreamError("received data without a pending call")
-            if reply := parser.feed(data):
+            reply = parser.feed(data)
+            while reply and connection.history.is_copy(kind_of(reply)):
+                self.log.event("ledger_copy", status=reply.status)
+                self._disable_reuse()
+                reply = parser.feed(b"")
+            if reply:
                 self._complete(connection, outcome_of(reply), reply.body)
-                self._return_to_idle(connection, is_clean=not parser.unread)
+                self._return_to_idle(connection, kind_of(reply), is_clean=not parser.unread)
 
     def _send(self, connection: LedgerConnection) -> None:
         if (call := connection.call) and not connection.stream.closed():
             connection.sent = True
+            connection.history.call_sent(call.attempt_id)
             timeout_ms = max(1, int(call.timeout * 1000))
             request = http.encode_ledger_call(str(connection.address), call.attempt_id, timeout_ms, call.body)
             connection.stream.write(request)
--- a/shelfhaven/lab/platform.py
+++ b/shelfhaven/lab/platform.py
@@ -126,6 +126,7 @@
         writers: writers of all connections accepted.
         closed: number of connections that have ended.
         reply: the response to each call; None to leave calls unanswered.
+        reply_to: returns the response to a call by its transaction reference, in place of `reply`.
         after_reply: called after each reply.
         cut_after: number of bytes of the reply after which the connection is closed; None to send all of it.
     """
@@ -138,6 +139,7 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.closed = 0
         self.reply: bytes | None = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+        self.reply_to: Callable[[str], bytes] | None = None
         self.after_reply: Callable[[], None] = lambda: None
         self.cut_after: int | None = None
 
@@ -155,9 +157,10 @@
                 fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
                 body = await reader.readexactly(int(fields["Content-Length"]))
                 self.calls.append((fields["X-Txn-Ref"], body))
-                if self.reply is None:
+                reply = self.reply_to(fields["X-Txn-Ref"]) if self.reply_to else self.reply
+                if reply is None:
                     continue
-                writer.write(self.reply[: self.cut_after])
+                writer.write(reply[: self.cut_after])
                 self.after_reply()
                 if self.cut_after is not None:
                     break
