Test of the ledger's idle time: replies that differ, as only those allow reuse

The test expected a second call on the connection of a ledger's first reply, whose copy could not be told. It now makes a call more, with replies that differ, and counts connections as exactly as before: 2 of 3 calls with reuse, 3 without.

--- a/tests/server/test_server.py
+++ b/tests/server/test_server.py
@@ -362,7 +362,7 @@
     agent.on_launch = lambda id_: agent.notice(f"request # {id_}", b"call of " + id_.encode())
 
 
-@pytest.mark.parametrize(("min_idle_time", "connection_count"), [(0.0, 1), (60.0, 2)])
+@pytest.mark.parametrize(("min_idle_time", "connection_count"), [(0.0, 2), (60.0, 3)])
 def test_a_call_reuses_a_connection_only_after_its_minimum_idle_time(
     min_idle_time: float, connection_count: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -372,11 +372,13 @@
         async with running_server() as server:
             request_call_on_launch(server)
             router = await server.router()
-            for number in (1, 2):
+            # the connection of the ledger's first reply is not used again, as nothing shows that replies differ
+            for number, body in ((1, b"first"), (2, b"other"), (3, b"third")):
+                server.ledger.reply = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + body
                 attempt_id = router.request(number)
                 assert "result" in await router.answer(number)
                 assert server.ledger.calls[-1] == (attempt_id, b"call of " + attempt_id.encode())
-                assert server.agent.delivered[-1] == (attempt_id, b"done")
+                assert server.agent.delivered[-1] == (attempt_id, body)
             assert server.ledger.connections == connection_count
 
     run_async(check)
