--- a/tests/server/test_server.py
+++ b/tests/server/test_server.py
@@ -372,7 +372,7 @@
         async with running_server() as server:
             request_call_on_launch(server)
             router = await server.router()
-            # the connection of the ledger's first reply is not used again, as nothing shows that replies differ
+            # the connection of the first reply is not used again: nothing shows yet that replies differ
             for number, body in ((1, b"first"), (2, b"other"), (3, b"third")):
                 server.ledger.reply = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + body
                 attempt_id = router.request(number)
