Ledger: a refusal never allows the reuse of its connection

A ledger that begins to refuse calls sent its first refusal on a connection that was then reused, as none of the last 64 replies equalled it. The second refusal on it was taken for a copy, and its call timed out: may have run, in place of the proof that it did not. Found on reading the change again.

Change: only replies with status 200 can tell a copy. Test failed before: TimeoutError, the refusal is not heard; it passes now, with 23 tests of the ledger and its replies.

--- a/shelfhaven/backends/reply_copies.py
+++ b/shelfhaven/backends/reply_copies.py
@@ -2,8 +2,8 @@
 
 A reply does not name its call, so a late copy can only be told by its content: it equals a reply that the
 connection has brought before. That is certain only where two calls do not get equal replies. So a connection
-is used again only after a reply that no other call of late has got, and not for another call of the same
-request. A ledger whose replies are all alike has each connection used once.
+is used again only after a result that no other call of late has got, and not for another call of the same
+request. Refusals, failures, and all replies of a ledger that always answers the same end their connection.
 
 This module does no I/O.
 """
@@ -13,6 +13,7 @@
 import hashlib
 from collections import deque
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import NamedTuple
 
 from shelfhaven.protocol import http
@@ -43,8 +44,9 @@
         self.kinds: deque[ReplyKind] = deque(maxlen=RECENT_REPLIES)
 
     def add(self, kind: ReplyKind) -> bool:
-        """Add a reply; return whether it differs from all others, of which there must be one."""
-        is_distinctive = bool(self.kinds) and kind not in self.kinds
+        """Add a reply; return whether it is a result that differs from all others, and there are others."""
+        has_result = kind.status == HTTPStatus.OK  # a ledger that begins to refuse calls refuses them alike
+        is_distinctive = has_result and bool(self.kinds) and kind not in self.kinds
         self.kinds.append(kind)
         return is_distinctive
 
--- a/tests/server/test_downstream_calls.py
+++ b/tests/server/test_downstream_calls.py
@@ -289,6 +289,26 @@
     run_async(check)
 
 
+def test_a_ledger_that_begins_to_refuse_calls_is_heard_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a second refusal being taken for a copy of the first, so that its call times out."""
+    monkeypatch.setattr(ledger, "MIN_IDLE_TIME", 0.0)
+
+    async def check() -> None:
+        service = peers.Ledger()
+        service.reply_to = reply_naming_call
+        async with ledger_harness(service) as harness:
+            for request_id in range(1, 6):
+                if request_id == 3:
+                    service.reply_to = None
+                    service.reply = b"HTTP/1.1 503 Busy\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n"
+                harness.place(request_id, timeout=30.0)
+                await until(lambda: len(harness.completed) == request_id)  # noqa: B023
+            outcomes = [completed.outcome for completed in harness.completed]
+            assert outcomes == [Outcome.OK] * 2 + [Outcome.REJECTED] * 3
+
+    run_async(check)
+
+
 def test_equal_replies_to_two_calls_of_one_request_reach_both(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against the reply to a request's second call being taken for a copy of the first one's."""
     monkeypatch.setattr(ledger, "MIN_IDLE_TIME", 0.0)
