--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -69,12 +69,8 @@
 
     Attributes:
         answer_counts: answers of the core since they were last logged.
-        stops_listening_early: whether it stops listening well before the closing phase, so that there is time
-            to answer all that was sent before.
     """
 
-    stops_listening_early = False
-
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         self.listen = listen
         self.mapping = mapping
--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -39,14 +39,14 @@
 from shelfhaven.server import messages
 
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
-ANNOUNCEMENT_TIME_S = 0.01  # after which the end is announced on each connection, before what is sent later
-HOLD_CHECK_INTERVAL_S = 0.005
-OPEN_STREAMS_FRACTION = 0.85  # of the time left to the server, in which streams may end by themselves
 HEALTH_SERVICE = "grpc.health.v1.Health"
 SERVING = b"\x08\x01"  # a HealthCheckResponse: its only field, with the status SERVING
 NOT_SERVING = b"\x08\x02"
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_METADATA_BYTES = 32 * 1024
+ANNOUNCEMENT_TIME_S = 0.01  # after which the end is announced on each connection, before what is sent later
+HOLD_CHECK_INTERVAL_S = 0.005
+OPEN_STREAMS_FRACTION = 0.85  # of the time left to the server, in which streams may end by themselves
 STALL_TEXT = "nothing was sent or taken in time"
 TRACEBACK_FRAMES = -4  # a negative limit keeps the innermost frames
 
@@ -197,8 +197,6 @@
         stopping: the graceful stop of the server, once it has begun.
     """
 
-    stops_listening_early = True
-
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         super().__init__(listen, mapping, context)
         verdict = processor_policy.ImmediateResponse(
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -111,8 +111,6 @@
 class SubrequestListener(ProxyListener):
     """Actor of one listener for subrequests; its connections are those of a `Listener`."""
 
-    stops_listening_early = True
-
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         super().__init__(listen, mapping, context)
         self.listener = Listener(
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -184,14 +184,11 @@
 
     def begin_drain(self) -> None:
         """Begin the drain of all listeners, which stop listening before the closing phase."""
+        stop = self.core.config.stop
+        listening_time = DRAIN_LISTENING_FRACTION * stop
         for proxy_listener in self.proxy_listeners:
             proxy_listener.begin_drain()
-            if proxy_listener.stops_listening_early:
-                stop = self.core.config.stop
-                listening_time = DRAIN_LISTENING_FRACTION * stop
-                asyncio.get_running_loop().call_later(
-                    listening_time, proxy_listener.stop_listening, stop - listening_time
-                )
+        asyncio.get_running_loop().call_later(listening_time, self.stop_listening, stop - listening_time)
 
     def stop_listening(self, left: float) -> None:
         """Accept no new consultations; those that are open may finish within `left` seconds."""
--- a/tests/failover/test_fleet.py
+++ b/tests/failover/test_fleet.py
@@ -23,6 +23,7 @@
     ONE_REGION,
     TOPUP,
     TWO_REGIONS,
+    RunCounts,
     World,
     world,
 )
@@ -272,6 +273,18 @@
     play(check)
 
 
+def assert_needless_spill_is_rare(
+    running_world: World, node: FleetNode, counts: RunCounts, since: float
+) -> None:
+    """Check that a node with places for four runs started few in other zones while it had a free place.
+
+    A slow machine may fill the places although the backend is fast; requests that met this are excepted.
+    """
+    excepted = running_world.requests_beside(node, 4, since - LOAD_EVENT_INTERVAL)
+    total = counts.local + counts.remote
+    assert counts.remote - excepted < 0.02 * total, (node.name, counts, excepted)
+
+
 def test_zone_with_slow_backends_spills_and_clock_differences_do_not_matter() -> None:
     async def check() -> None:
         async with world(
@@ -294,11 +307,8 @@
                 assert counts.local > 0, node.name
                 if node.zone == "z1":
                     assert counts.remote_fraction > 0.15, node.name
-                    continue
-                # a slow machine may fill the four places of a fast backend: what met this is excepted
-                excepted = running_world.requests_beside(node, 4, measured_from - LOAD_EVENT_INTERVAL)
-                total = counts.local + counts.remote
-                assert counts.remote - excepted < 0.02 * total, (node.name, counts, excepted)
+                else:
+                    assert_needless_spill_is_rare(running_world, node, counts, measured_from)
             assert (
                 running_world.success_rate(measured_from, zone="z1") > 0.95
             ), "the excess load is served in other zones"
