Stream drain: a short reserve for closing, and responses are delayed, not held

The reserve before the end of the stop time was a fraction of what is left: at a stop time of 10 s open streams were closed 0.75 s early, before the time by which the core gives its last answers. It is 0.12 s at most now, as it is at a stop time of 1.6 s. Found on reading the change again; no test at 10 s.

Names: ResponseDelay and what belongs to it, in place of hold.

--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -35,7 +35,7 @@
 from shelfhaven.protocol.pb import extproc_pb2
 from shelfhaven.routing import processor_policy
 from shelfhaven.routing.request_mapping import MappingError, RequestMapping
-from shelfhaven.routing.stream_shutdown import ResponseHold
+from shelfhaven.routing.stream_shutdown import ResponseDelay
 from shelfhaven.server import messages
 
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
@@ -45,8 +45,9 @@
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_METADATA_BYTES = 32 * 1024
 ANNOUNCEMENT_TIME_S = 0.01  # after which the end is announced on each connection, before what is sent later
-HOLD_CHECK_INTERVAL_S = 0.005
-OPEN_STREAMS_FRACTION = 0.85  # of the time left to the server, in which streams may end by themselves
+ANNOUNCEMENT_CHECK_INTERVAL_S = 0.005
+CLOSING_FRACTION = 0.15  # of the time left to the server, reserved for closing streams that are still open
+MAX_CLOSING_TIME_S = 0.12
 STALL_TEXT = "nothing was sent or taken in time"
 TRACEBACK_FRAMES = -4  # a negative limit keeps the innermost frames
 
@@ -191,7 +192,7 @@
         rejection: the encoded response to a stream that is not admitted.  It does not promise that a retry is
             safe, as the request is not read.
         port: the port that the server is bound to, once it has started.
-        hold: determines how long responses are held before the listener announces its end.
+        response_delay: determines how long responses are delayed before the listener announces its end.
         announced: set once the listener has announced its end.
         unadmitted: number of streams that wait to be admitted, or for their rejection.
         stopping: the graceful stop of the server, once it has begun.
@@ -208,7 +209,7 @@
         self.rejection = extproc_messages.encode_immediate(verdict, load=None, content_type="")
         self.server: grpc.aio.Server | None = None
         self.port = 0
-        self.hold = ResponseHold(self.settings.verdict_budget)
+        self.response_delay = ResponseDelay(self.settings.verdict_budget)
         self.announced = asyncio.Event()
         self.unadmitted = 0
         self.stopping: asyncio.Task[None] | None = None
@@ -239,42 +240,43 @@
     async def end(self, _time_left: float) -> None:
         """Close all open streams."""
         self._stop_load_measurement()
-        self._end_hold()
+        self._end_delay()
         if self.server:
             await self.server.stop(0)
         if self.stopping:
             await self.stopping
 
     async def _stop_server(self, server: grpc.aio.Server, time_left: float) -> None:
-        """Hold responses until no streams arrive, announce the end, and send them; then end the server."""
-        stop_at = time.monotonic() + OPEN_STREAMS_FRACTION * time_left
-        self.hold.begin(time.monotonic())
-        while not self.hold.ended and not self.hold.is_over(time.monotonic()):
-            await asyncio.sleep(HOLD_CHECK_INTERVAL_S)
+        """Delay responses until no streams arrive, announce the end, and send them; then end the server."""
+        closing_time = min(MAX_CLOSING_TIME_S, CLOSING_FRACTION * time_left)
+        stop_at = time.monotonic() + time_left - closing_time
+        self.response_delay.begin(time.monotonic())
+        while not self.response_delay.ended and not self.response_delay.is_over(time.monotonic()):
+            await asyncio.sleep(ANNOUNCEMENT_CHECK_INTERVAL_S)
         stopped = asyncio.ensure_future(server.stop(max(0.0, stop_at - time.monotonic())))
         await asyncio.sleep(ANNOUNCEMENT_TIME_S)
-        self._end_hold()
+        self._end_delay()
         await stopped
 
-    def _end_hold(self) -> None:
-        self.hold.end()
+    def _end_delay(self) -> None:
+        self.response_delay.end()
         self.announced.set()
 
-    async def _wait_while_held(self, started_at: float) -> None:
-        """Wait while the responses to a stream are held; `started_at`: when it was taken up."""
-        hold_time = self.hold.time_left(time.monotonic(), started_at)
-        if hold_time > 0:
+    async def _wait_for_announcement(self, started_at: float) -> None:
+        """Wait while the responses to a stream are delayed; `started_at`: when it was taken up."""
+        delay_left = self.response_delay.time_left(time.monotonic(), started_at)
+        if delay_left > 0:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(hold_time):
+                async with asyncio.timeout(delay_left):
                     await self.announced.wait()
 
     async def _send(self, context: StreamContext, response: bytes, started_at: float) -> None:
-        """Send a response, which may be held first.
+        """Send a response, which may be delayed first.
 
         Raises:
             TimeoutError: the response was not taken in time.
         """
-        await self._wait_while_held(started_at)
+        await self._wait_for_announcement(started_at)
         async with asyncio.timeout(self.settings.verdict_timeout):
             await context.write(response)
 
@@ -316,12 +318,12 @@
         return SERVING if self.is_healthy() and not self.draining else NOT_SERVING
 
     async def _process(self, _requests: object, context: StreamContext) -> None:
-        """Serve one stream.  While responses are held, it is only taken up, so that this is soon over."""
+        """Serve one stream.  While responses are delayed, it is only taken up, so that this is soon over."""
         started_at = time.monotonic()
-        self.hold.stream_started(started_at)
+        self.response_delay.stream_started(started_at)
         self.unadmitted += 1
         try:
-            await self._wait_while_held(started_at)
+            await self._wait_for_announcement(started_at)
             is_admitted = self.admit()
             if not is_admitted:
                 await self._reject(context, started_at)
