Failover fleet tests: a failed test prints the leases and policies of its nodes

The known-red test of a failing class could not be traced, as nothing told what the controller decided in the failed run.

--- a/shelfhaven/lab/failover_fleet.py
+++ b/shelfhaven/lab/failover_fleet.py
@@ -24,6 +24,15 @@
 
 MAX_DIVERTED = 0.5  # fraction of the load of all zones; the configuration's default
 MAX_REPORTED_VIOLATIONS = 50
+MAX_REPORTED_EVENTS = 200
+FAILOVER_EVENTS = (
+    "duty",
+    "zone_decided",
+    "zones_followed",
+    "zones_halted",
+    "zones_over",
+    "zones_undecided",
+)
 CONTROLLER_TASK = """duties lease="2s" margin="200ms" step="150ms" settle="60s" dead="2s" {{
     agree engine="etcd" within="1s" {{ endpoint "127.0.0.1:{port}"; }}
     duty "zones" kind="decide-zones"
@@ -280,6 +289,11 @@
         ]  # fmt: skip
         return sorted(lines, key=lambda line: line["epoch"])
 
+    def failover_events(self) -> str:
+        """Return the latest log lines on leases and policies, for the report of a test that failed."""
+        lines = [line for line in self.fleet.whole_history() if line["event"] in FAILOVER_EVENTS]
+        return "\n".join(str(line) for line in lines[-MAX_REPORTED_EVENTS:])
+
     def diverted(self, node: FleetNode) -> dict[str, float]:
         """Return the diverted fractions by zone in the policy that a node follows."""
         lines = node.events("zones_followed")
@@ -326,7 +340,11 @@
             nodes.values["singleton_tasks"] = _controller_task
             created_world = World(store, backends, nodes, ran, regions, replica_zones)
             nodes.values["zones_section"] = created_world.zones_block(keys)
-            yield created_world
+            try:
+                yield created_world
+            except Exception:
+                print(created_world.failover_events())
+                raise
             violations = failover_checker.find_violations(
                 nodes.whole_history(), zone_count, MAX_DIVERTED, ran
             )
