--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""In the second half of a drain, a proxy is told that a top-up that has run was not run."""
+"""During a drain, the repeat of a top-up that has run is turned away as never run, on a kept connection."""
 
 from __future__ import annotations
 
@@ -6,10 +6,10 @@
 import signal
 from pathlib import Path
 
-from standins2 import NO_ANSWER, Answer, CaseError, Node, Record, free_port, play_case, read_answer, trouble
+from standins2 import CaseError, Gateway, Node, Record, Run, Server, free_port, play_case, trouble
 
-PROXIES = 6
-STOP = 5.0  # seconds, from the file below
+GATEWAYS = 6
+GRACE = 2.5  # seconds, from the brief
 
 FILE = """
 node "clearing-1" {{
@@ -22,6 +22,7 @@
     at-once 16
     memory "64MB"
     callers 4
+    drain-grace "2500ms"
     class "topup" aim="2s" deadline="4s" worth=3 repeat="keyed" window="8s"
     class "balance" aim="500ms" deadline="1500ms" worth=1 repeat="safe"
 }}
@@ -31,62 +32,67 @@
     key variable="HTTP_IDEMPOTENCY_KEY"
     footprint "24KB"
 }}
-listen "proxies" protocol="subrequest" address="127.0.0.1:{port}" mapping="vendors" {{
-    verdict "200ms"
-    lease "5s"
+listen "gateways" protocol="uwsgi" address="127.0.0.1:{port}" mapping="vendors" {{
+    keep true
+}}
+pool "backoffice" {{
+    server "127.0.0.1:{first}"
+    server "127.0.0.1:{second}"
+    runs "topup" method="POST" path="/topup"
+    runs "balance" method="GET" path="/balance/any"
 }}
 """
 
 
-class Proxy:
-    """One kept connection of a proxy, which asks before it forwards a request."""
+def duration(_path: str) -> float:
+    """Return how long a request takes at a server."""
+    return 0.1
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
 
-    async def ask(self, key: str) -> Answer:
-        """Ask for the verdict on a top-up."""
-        self.writer.write(
-            b"GET /ask HTTP/1.1\r\nHost: node\r\nX-Original-Method: POST\r\nX-Original-URI: /topup\r\n"
-            b"Idempotency-Key: %b\r\n\r\n" % key.encode()
-        )
-        try:
-            return await asyncio.wait_for(read_answer(self.reader), 5.0)
-        except (OSError, TimeoutError):
-            return NO_ANSWER
+def topup(number: int) -> tuple[dict[str, str], bytes]:
+    """Return the variables and the body of a top-up, the same for all its tries."""
+    key = f"{number:032x}"
+    variables = {"REQUEST_METHOD": "POST", "PATH_INFO": "/topup", "HTTP_IDEMPOTENCY_KEY": key}
+    return variables, b"top-up %d" % number
 
 
 async def play(record: Record, folder: Path) -> bool:
-    """Play the case; return whether no top-up that was forwarded is told not to have run."""
+    """Play the case; return whether no top-up that has run was turned away."""
+    runs: list[Run] = []
+    servers = [Server(name, record, runs, duration) for name in ("s1", "s2")]
+    for server in servers:
+        await server.start()
     port = free_port()
-    node = Node(record, folder, FILE.format(port=port), [port])
+    text = FILE.format(port=port, first=servers[0].port, second=servers[1].port)
+    node = Node(record, folder, text, [port])
+    gateways = [Gateway(port) for _ in range(GATEWAYS)]
+    loop = asyncio.get_running_loop()
     turned_away = 0
-    proxies: list[Proxy] = []
     try:
         await node.start()
         await asyncio.sleep(1.5)
-        for _ in range(PROXIES):
-            proxies.append(Proxy(*await asyncio.open_connection("127.0.0.1", port)))  # noqa: PERF401
-        for number, proxy in enumerate(proxies):
-            answer = await proxy.ask(f"{number:032x}")
-            record.add(f"top-up {number}, first try: {answer}")
+        for number, gateway in enumerate(gateways):
+            answer = await gateway.ask(*topup(number))
+            record.add(f"top-up {number}, first try: {answer}; {answer.headers.get('connection')}")
             if answer.status != 200:
-                raise CaseError("a top-up got no permission before the disruption")
-            record.add(f"the proxy forwards top-up {number}, which runs")
+                raise CaseError("a top-up was not served before the disruption")
+        noticed_at = loop.time()
         if trouble():
             node.signal(signal.SIGTERM)
             await node.logged("draining")
-        await asyncio.sleep(0.6 * STOP)
-        for number, proxy in enumerate(proxies):
-            answer = await proxy.ask(f"{number:032x}")
-            record.add(f"top-up {number}, repeat: {answer}")
+        for number, gateway in enumerate(gateways):
+            answer = await gateway.ask(*topup(number))
+            record.add(f"top-up {number}, repeat on the same connection: {answer}")
             turned_away += answer.not_run
+        if loop.time() - noticed_at > GRACE:
+            raise CaseError("the repeats were not sent within the grace")
     finally:
-        for proxy in proxies:
-            proxy.writer.close()
+        for gateway in gateways:
+            gateway.close()
         node.end()
-    record.add(f"{PROXIES} top-ups ran; repeats answered as not run: {turned_away}")
+        for server in servers:
+            server.stop()
+    record.add(f"{len({run.key for run in runs})} top-ups ran; repeats turned away as not run: {turned_away}")
     return turned_away == 0
 
 
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -18,7 +18,7 @@
 import time
 import tomllib
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import NamedTuple
 
@@ -243,6 +243,7 @@
     path: str
     key: str
     body: bytes
+    at: float  # monotonic seconds at which it began
 
 
 @dataclass
@@ -256,12 +257,13 @@
     record: Record
     runs: list[Run]
     duration: Callable[[str], float]  # seconds that a request of this path takes
+    workers: int = 64  # requests that it executes at a time; others wait for a worker
     port: int = 0
     serving: asyncio.Server | None = None
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen on a free port."""
+        self.slots = asyncio.Semaphore(self.workers)
         self.serving = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.serving.sockets[0].getsockname()[1]
 
@@ -269,10 +271,11 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             variables, body = await read_packet(reader)
             path = variables.get("PATH_INFO", "")
-            run = Run(self.name, path, variables.get("HTTP_IDEMPOTENCY_KEY", ""), body)
-            self.runs.append(run)
-            self.record.add(f"server {self.name} runs {path} {body!r} key={run.key}")
-            await asyncio.sleep(self.duration(path))
+            key = variables.get("HTTP_IDEMPOTENCY_KEY", "")
+            async with self.slots:
+                self.runs.append(Run(self.name, path, key, body, time.monotonic()))
+                self.record.add(f"server {self.name} runs {path} {body!r} key={key}")
+                await asyncio.sleep(self.duration(path))
             result = b"done " + (body or path.encode())
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
