--- a/review/standins2.py
+++ b/review/standins2.py
@@ -17,9 +17,11 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from types import TracebackType
 from typing import NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -294,9 +296,21 @@
 
 
 def play_case(play: Play, case_file: str) -> None:
-    """Play a case and exit with its result; `play` returns whether the rule held."""
+    """Play a case and exit with its result; `play` returns whether the rule held.
+
+    Whatever else ends the case, such as an unexpected error or SIGTERM, is `NOT_RUN`: it says nothing about
+    the rule, and an error of Python's own would end with the code of a broken rule.
+    """
     record = Record(Path(case_file).resolve().parent)
     record.add(f"with the disruption: {trouble()}")
+
+    def not_played(kind: type[BaseException], error: BaseException, trace: TracebackType | None) -> None:
+        """Exit after an unexpected error; the node has been ended by then."""
+        record.add("not played: " + "".join(traceback.format_exception(kind, error, trace)))
+        os._exit(NOT_RUN)
+
+    sys.excepthook = not_played
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(NOT_RUN))  # ends the node on its way out
     code = NOT_RUN
     try:
         with tempfile.TemporaryDirectory() as folder:
