Subrequests: a verdict on a HEAD request has no body, so that it is sent

What callers saw: a proxy that asks with the method of the request it was sent got no verdict by HEAD when the verdict was a refusal; the connection ended without a byte.

Cause: SubrequestListener._respond gave the HTTP library a body and its length for any method. The library lets a response to HEAD have no body and raises HTTPOutputError, after which the connection is closed. Only a permission has an empty body. Evidence: one "proxy_failed" with HTTPOutputError from write_headers for each lost verdict; 404, 405 and rejections by HEAD were lost without a drain too.

Change: a response to HEAD has the same header fields and no body (protocol/http.py, response_content). Related path: the response after an error of the node had a body on HEAD as well.

--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -28,7 +28,7 @@
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.frontends.subrequest_connection import SubrequestConnection
 from shelfhaven.operator_config import Listen
-from shelfhaven.protocol.http import REASON_PHRASES
+from shelfhaven.protocol.http import REASON_PHRASES, response_content
 from shelfhaven.routing import processor_policy
 from shelfhaven.routing.processor_policy import ConsultationStage
 from shelfhaven.routing.request_mapping import MappingError, RequestMapping
@@ -196,13 +196,14 @@
         self._respond(subrequest.request, subrequest.status, subrequest.headers, body)
 
     def _respond(self, request: HTTPServerRequest, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a response.  The library refuses a body on a request by HEAD, and would end the connection."""
         headers["Content-Length"] = str(len(body))
         if self.draining:
             headers["Connection"] = "close"
         connection = _http_connection(request)
         try:
             start_line = ResponseStartLine("HTTP/1.1", status, REASON_PHRASES.get(status, "Unknown"))
-            connection.write_headers(start_line, headers, body)
+            connection.write_headers(start_line, headers, response_content(request.method or "", body))
             connection.finish()
         except (OSError, StreamClosedError):
             self.log.event("proxy_gone", peer=request.remote_ip)
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -41,6 +41,7 @@
 
     Attributes:
         handle: serves one request and writes its response to the request's connection, unless that is closed.
+        method_in_service: method of the request that is being served; empty if there is none.
     """
 
     def __init__(self, stream: DetachableStream, listen: Listen, handle: Handler, log: Log) -> None:
@@ -54,6 +55,7 @@
             header_timeout=IDLE_TIMEOUT_S,
             body_timeout=listen.request_timeout,
         )
+        self.method_in_service = ""
         self.request_ref = 0  # of the current or last request
         self.task: asyncio.Task[None] | None = None  # serves the current or last request
 
@@ -94,6 +96,7 @@
         self._record_message()
         self.request_ref += 1
         self.unanswered.add(self.request_ref)
+        self.method_in_service = request.method or ""
         self.task = asyncio.get_running_loop().create_task(self._serve_request(request, self.request_ref))
 
     async def _serve_request(self, request: HTTPServerRequest, request_ref: int) -> None:
@@ -108,6 +111,7 @@
         if not is_served:
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             self.fail_unreadable(UnreadableStreamError("an error in this server", status))
+        self.method_in_service = ""
         self._close_if_done()
 
     def _reject_headers(self) -> None:
@@ -124,7 +128,8 @@
 
     def _encode_unreadable(self, error: UnreadableStreamError) -> bytes:
         status = error.code or HTTPStatus.BAD_REQUEST
-        return http.encode_response(status, [http.NOT_RUN], f"{error}\n".encode(), close=True)
+        text = f"{error}\n".encode()
+        return http.encode_response(status, [http.NOT_RUN], text, close=True, method=self.method_in_service)
 
 
 class _RequestReader(HTTPMessageDelegate):
--- a/shelfhaven/lab/callers.py
+++ b/shelfhaven/lab/callers.py
@@ -173,13 +173,17 @@
     return Connection(*await asyncio.open_connection(listener.host, listener.port))
 
 
-async def read_reply(reader: asyncio.StreamReader) -> Reply:
-    """Read one response; return `LOST` if it is malformed or the connection ends before it is complete."""
+async def read_reply(reader: asyncio.StreamReader, method: str = "GET") -> Reply:
+    """Read the response to a request with this method; a response to HEAD has no body, whatever its length.
+
+    Return `LOST` if it is malformed or the connection ends before it is complete.
+    """
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         status_line, *field_lines = head.rstrip().split("\r\n")
         fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in field_lines)}
-        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        body_length = 0 if method == "HEAD" else int(fields.get("content-length", 0))
+        body = await reader.readexactly(body_length)
         return Reply(int(status_line.split()[1]), fields, body)
     except (OSError, asyncio.IncompleteReadError, ValueError):
         return LOST
--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -17,6 +17,7 @@
 MAX_HEAD_BYTES = 8 * 1024
 MAX_BODY_BYTES = 1 << 20
 HEAD_END = b"\r\n\r\n"
+HEAD = "HEAD"  # method that asks for the header fields alone
 FIRST_FINAL_STATUS = 200  # a smaller status is interim: the final response follows
 STATUS_DIGITS = 3
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)  # RFC 9112, section 6.3
@@ -169,9 +170,20 @@
     return head.encode() + body
 
 
-def encode_response(status: int, fields: Iterable[tuple[str, str]], body: bytes, close: bool) -> bytes:
-    """Return the bytes of a response; `close`: its connection is closed after it."""
+def response_content(method: str, body: bytes) -> bytes:
+    """Return what follows the header fields: a response to HEAD ends with them, whatever its length says."""
+    return b"" if method == HEAD else body
+
+
+def encode_response(
+    status: int, fields: Iterable[tuple[str, str]], body: bytes, close: bool, method: str = ""
+) -> bytes:
+    """Return the bytes of a response to a request with this method; empty: it is not known.
+
+    `close`: the connection is closed after the response.
+    """
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Unknown')}"]
     lines += [f"{name}: {value}" for name, value in fields]
     lines += [f"Content-Length: {len(body)}", f"Connection: {'close' if close else 'keep-alive'}"]
-    return "\r\n".join(lines).encode("latin-1", "replace") + HEAD_END + body
+    head = "\r\n".join(lines).encode("latin-1", "replace") + HEAD_END
+    return head + response_content(method, body)
--- a/tests/frontends/test_subrequest_connections.py
+++ b/tests/frontends/test_subrequest_connections.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 
@@ -30,6 +30,21 @@
         yield node, listener, address
 
 
+@contextlib.asynccontextmanager
+async def kept_connection(address: Address) -> AsyncIterator[Callable[[str, str], Awaitable[Reply]]]:
+    """Yield a function that asks on one connection with a method and a path."""
+    reader, writer = await connect(address)
+
+    async def ask(method: str, path: str) -> Reply:
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n\r\n".encode())
+        return await asyncio.wait_for(read_reply(reader, method), 5.0)
+
+    try:
+        yield ask
+    finally:
+        writer.close()
+
+
 async def read_from(sock: socket.socket) -> Reply:
     reader, writer = await asyncio.open_connection(sock=sock)
     try:
@@ -99,6 +114,66 @@
     run_async(check)
 
 
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_each_kind_of_verdict_reaches_the_proxy_and_keeps_its_connection(method: str) -> None:
+    # guards against consultations by HEAD without a verdict (docs/incidents/head-without-a-verdict.md)
+    async def check() -> None:
+        async with (
+            subrequest_listener(at_once=1, lease="60s") as (node, listener, address),
+            kept_connection(address) as ask,
+        ):
+            assert [(await ask(method, "/nowhere")).status for _ in range(2)] == [404, 404]
+            assert (await ask(method, "/topup")).status == 405
+            assert (await ask(method, "/balance/1")).status == 200
+            beyond_capacity = await ask(method, "/balance/2")
+            assert (beyond_capacity.status, beyond_capacity.not_run) == (REJECTED, True)
+            assert beyond_capacity.retry_after > 0
+            assert int(beyond_capacity.fields["content-length"]) > 0
+            assert bool(beyond_capacity.body) == (method == "GET")
+            listener.streams.open_streams = listener.settings.max_streams
+            assert (await ask(method, "/balance/3")).status == REJECTED
+            listener.streams.open_streams = 0
+            assert (await ask(method, "/balance/1")).status == REJECTED  # another response on the connection
+            assert len(listener.listener.connections) == 1
+
+    run_async(check)
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_a_request_in_a_drain_gets_its_verdict_and_the_connection_ends_in_order(method: str) -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            reader, writer = await connect(address)
+            await until(lambda: listener.listener.connections)
+            listener.begin_drain()
+            listener.stop_listening(0.0)
+            writer.write(REQUEST.replace(b"GET", method.encode()))
+            reply = await read_reply(reader, method)
+            assert (reply.status, reply.not_run) == (REJECTED, True)
+            assert "retry-after" in reply.fields
+            await listener.end(1.0)
+            assert await read_end(reader) == b""  # no byte of a body is left
+
+    run_async(check)
+
+
+def test_an_unreadable_request_by_head_gets_no_body() -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+
+            async def fail(_: object) -> None:
+                raise ValueError("a fault of the program")
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(listener, "_consult", fail)
+                reader, writer = await connect(address)
+                writer.write(REQUEST.replace(b"GET", b"HEAD"))
+                assert (await read_reply(reader, "HEAD")).status == 500
+                assert await read_end(reader) == b""
+
+    run_async(check)
+
+
 def test_a_connection_that_sends_no_whole_request_is_answered_in_time() -> None:
     async def check() -> None:
         async with subrequest_listener() as (_, listener, address):
