HEAD over uwsgi: answers and backends' responses end with the header fields

What callers saw: a gateway that keeps its connection got the body of an answer to HEAD as the beginning of its next answer; a run by HEAD at a uwsgi backend that states the length of the body and sends none, as HTTP has it, failed with 502.

Change: both know the method; a body that a backend sends all the same is no part of the result.

Tests failed before: test_answers_by_head_have_no_body_and_the_next_answer_is_read_in_place second answer unreadable: assert 0 == 404 test_a_run_by_head_ends_with_the_header_of_its_response[] assert (502, b'') == (200, b'') The same by GET: bodies arrive, and one that is cut short is still no result.

--- a/shelfhaven/backends/uwsgi_pool.py
+++ b/shelfhaven/backends/uwsgi_pool.py
@@ -64,6 +64,7 @@
 
     Attributes:
         number: number of the attempt.
+        method: method of the request.
         stream: the connection.
         was_connected: whether the connection was established.
         timer: timeout of the attempt.
@@ -72,6 +73,7 @@
     """
 
     number: int
+    method: str
     stream: IOStream
     was_connected: bool = False
     timer: asyncio.TimerHandle | None = None
@@ -226,7 +228,8 @@
             # Report it in a later iteration of the event loop, like any other end of an attempt.
             loop.call_soon(self._end_attempt, send.attempt, AttemptResult.UNREACHABLE)
             return
-        attempt = AttemptConnection(send.attempt, stream)
+        method = self._request_attributes(self.launches[send.run_id]).method
+        attempt = AttemptConnection(send.attempt, method, stream)
         self.attempts[send.attempt] = attempt
         attempt.timer = loop.call_later(send.timeout, after_reading, self._time_out, attempt)
         task = loop.create_task(self._serve_attempt(attempt, address, self._encode_request(send)))
@@ -258,9 +261,7 @@
 
     def _request_variables(self, launch: messages.LaunchRun) -> dict[str, str]:
         """Return the variables common to all attempts of a run, including those from its frontend."""
-        attributes = launch.attributes
-        if attributes is None:
-            attributes = self._default_attributes(launch.class_name)
+        attributes = self._request_attributes(launch)
         path = attributes.path
         query = attributes.query
         return {
@@ -273,11 +274,13 @@
             **dict(attributes.extra_variables),
         }
 
-    def _default_attributes(self, class_name: str) -> messages.RequestAttributes:
-        """Return the request attributes of a run whose frontend provided none."""
-        target = self.config.runs.get(class_name)
+    def _request_attributes(self, launch: messages.LaunchRun) -> messages.RequestAttributes:
+        """Return the request attributes of a run: those from its frontend, or else the configured ones."""
+        if launch.attributes:
+            return launch.attributes
+        target = self.config.runs.get(launch.class_name)
         method = target.method if target else DEFAULT_METHOD
-        path = target.path if target else f"/{class_name}"
+        path = target.path if target else f"/{launch.class_name}"
         return messages.RequestAttributes(method, path, "", DEFAULT_CONTENT_TYPE)
 
     async def _serve_attempt(
@@ -294,7 +297,7 @@
 
     async def _exchange(self, attempt: AttemptConnection, address: SocketAddress, request: bytes) -> None:
         """Connect, send the request, and read the response."""
-        parser = http.ResponseParser(True, self.config.max_result_bytes)
+        parser = http.ResponseParser(True, self.config.max_result_bytes, attempt.method)
         try:
             await self._connect(attempt, address)
             attempt.stream.write(request)
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -18,6 +18,7 @@
 import os
 import socket
 import time
+from typing import NamedTuple
 
 import orjson
 
@@ -44,6 +45,12 @@
 ATTEMPT_ID_BYTES = 8  # written in hex, like the attempt ids of routers
 
 
+class _GatewayResponse(NamedTuple):
+    status: int
+    fields: list[tuple[str, str]]
+    body: bytes
+
+
 class GatewayConnection(MessageConnection):
     """Actor of one gateway's connection; it carries one request at a time."""
 
@@ -65,6 +72,7 @@
         self.parser = wire.RequestParser(listen.max_block_bytes, listen.max_body_bytes)
         self.keep_alive = listen.keep_alive
         self.request_ref = 0  # of the current or last request
+        self.request_method = ""  # of the current or last request
 
     @property
     def has_partial_message(self) -> bool:
@@ -87,6 +95,7 @@
     def _handle_request(self, request: wire.Request) -> None:
         self.request_ref += 1
         self.unanswered.add(self.request_ref)
+        self.request_method = request.variables.get("REQUEST_METHOD", "")
         path = request.variables.get("PATH_INFO", "")
         if path in (self.listen.health_path, self.listen.load_path):
             self.carries_health_checks = True
@@ -138,26 +147,27 @@
         close = not self.keep_alive or self.draining
         if close:
             self.state = ConnectionState.UNREADABLE  # closed once this answer has been sent
+        response = self._response_to(answer)
         load = [] if answer.load is None else [("X-Load", f"{answer.load:g}")]
+        fields = [*load, *response.fields]
+        return http.encode_response(response.status, fields, response.body, close, self.request_method)
+
+    def _response_to(self, answer: messages.Answer) -> _GatewayResponse:
+        """Return the response that carries an answer, without the advertised load."""
         match answer:
             case messages.ServedAnswer():
-                fields = [("Content-Type", self.listen.content_type), *load]
-                return http.encode_response(SERVED, fields, answer.body, close)
+                return _GatewayResponse(SERVED, [("Content-Type", self.listen.content_type)], answer.body)
             case messages.RejectedAnswer():
-                fields = [*load, PLAIN_TEXT, http.NOT_RUN, *_retry_fields(answer)]
-                return http.encode_response(REJECTED, fields, b"refused; nothing ran\n", close)
+                fields = [PLAIN_TEXT, http.NOT_RUN, *_retry_fields(answer)]
+                return _GatewayResponse(REJECTED, fields, b"refused; nothing ran\n")
             case messages.FailedAnswer():
                 status = answer.code or (DEADLINE_PASSED if answer.deadline_passed else FAILED)
                 not_run = [http.NOT_RUN] if answer.code else []  # a code is set only for invalid requests
-                return http.encode_response(
-                    status, [*load, PLAIN_TEXT, *not_run], f"{answer.text}\n".encode(), close
-                )
+                return _GatewayResponse(status, [PLAIN_TEXT, *not_run], f"{answer.text}\n".encode())
             case messages.HealthAnswer():
                 status = SERVED if answer.healthy else REJECTED
                 body = orjson.dumps({"good": answer.healthy, "load": answer.load})
-                return http.encode_response(
-                    status, [*load, ("Content-Type", "application/json")], body, close
-                )
+                return _GatewayResponse(status, [("Content-Type", "application/json")], body)
 
     def announce_shutdown(self) -> None:
         """Close the connection after the next answer: HTTP has no message to announce a shutdown.
--- a/shelfhaven/lab/callers.py
+++ b/shelfhaven/lab/callers.py
@@ -207,6 +207,6 @@
         return NOT_REACHED
     writer.write(uwsgi.encode(variables(method, path, **more), body))
     try:
-        return await read_reply(reader)
+        return await read_reply(reader, method)
     finally:
         writer.close()
--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -56,12 +56,15 @@
     """Parses the one response that is expected on a connection; bytes after it stay in `unread`.
 
     With `read_until_close`, a response without a length extends to the end of its connection, as is common
-    for uwsgi servers.
+    for uwsgi servers.  `method`: that of the request; a response to HEAD ends with its header fields.
     """
 
-    def __init__(self, read_until_close: bool = False, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self, read_until_close: bool = False, max_body_bytes: int = MAX_BODY_BYTES, method: str = ""
+    ) -> None:
         self.read_until_close = read_until_close
         self.max_body_bytes = max_body_bytes
+        self.method = method
         self.unread = bytearray()
         self._head: _Head | None = None
 
@@ -121,7 +124,7 @@
 
     def _body_length(self, head: _Head) -> int | None:
         """Return the length of the body; None if the body extends to the end of the connection."""
-        if head.status < FIRST_FINAL_STATUS or head.status in BODILESS_STATUSES:
+        if self.method == HEAD or head.status < FIRST_FINAL_STATUS or head.status in BODILESS_STATUSES:
             return 0
         value = head.fields.get(b"content-length")
         if b"transfer-encoding" in head.fields or (value is None and not self.read_until_close):
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -87,6 +87,44 @@
     run_async(check)
 
 
+def test_answers_by_head_have_no_body_and_the_next_answer_is_read_in_place() -> None:
+    # guards against bytes of one answer that are read as the next (docs/incidents/head-without-a-verdict.md)
+    async def check() -> None:
+        async with running_node(listen="keep=true") as node:
+            reader, writer = await connect(node.gateway_address)
+            for method, path, status in (
+                ("HEAD", "/balance/1", 200),
+                ("HEAD", "/nowhere", 404),
+                ("HEAD", "/-/health", 200),
+                ("GET", "/balance/2", 200),
+            ):
+                writer.write(uwsgi.encode(variables(method, path)))
+                reply = await asyncio.wait_for(read_reply(reader, method), 5.0)
+                assert reply.status == status
+                assert bool(reply.body) == (method == "GET")
+            assert reply.body == b"made for /balance/2"
+            writer.close()
+
+    run_async(check)
+
+
+@pytest.mark.parametrize("backend_body", [b"", b"made for it"])
+def test_a_run_by_head_ends_with_the_header_of_its_response(backend_body: bytes) -> None:
+    # guards against runs by HEAD that fail as they wait for a body (docs/incidents/head-without-a-verdict.md)
+    async def check() -> None:
+        async with running_node() as node:
+            node.backends[0].mode = StubMode.RAW
+            node.backends[0].raw_response = b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n" + backend_body
+            reply = await node.ask("HEAD", "/balance/1")
+            assert (reply.status, reply.body) == (200, b"")
+            assert len(node.runs) == 1
+            reply = await node.ask("GET", "/balance/1")  # a body that is cut short is no result
+            assert (reply.status == 200) == bool(backend_body)
+            assert reply.body == backend_body or not backend_body
+
+    run_async(check)
+
+
 # Invalid requests and unreadable streams
 
 
