Connections handle messages by turns, and useless ones at a limited rate

What callers saw: while one router sent small messages on one connection at full speed (requests with ever new keys, unknown methods, health checks, cancellations), clients of every listener got their answers late or never and memory grew from 37 to 134 to 328 MB in 4 s.

Cause: a read of data that is there already does not suspend the reading task, so that it never let the event loop go on while the peer sent faster than it parsed. The core's mailbox was not served, so that nothing made the peer wait. One read could also hold 2,000 messages. Messages without a request to the core had no limit at all.

While this side does not read, no message is overdue.

--- a/shelfhaven/frontends/connection.py
+++ b/shelfhaven/frontends/connection.py
@@ -68,6 +68,7 @@
         self.carries_health_checks = False
         self.last_used_at = time.monotonic()  # time of the last message or answer
         self.message_awaited_since = self.last_used_at  # then the time of each message's first byte
+        self.held_back = False  # this side does not read for a while, so no message is overdue
         self.silent = True  # no complete message has been received yet
         self.closed_by_reader = False  # the reading task has done its last read and closes the stream itself
         self.output_finished = asyncio.Event()  # an unreadable connection has no more answers to send
@@ -176,7 +177,7 @@
     def is_message_overdue(self, now: float) -> bool:
         """Whether the first message, or the rest of an incomplete one, has not come in time."""
         return (
-            self.silent or self.has_partial_message
+            not self.held_back and (self.silent or self.has_partial_message)
         ) and now - self.message_awaited_since > self.message_timeout
 
     def is_answer_stuck(self, now: float) -> bool:
--- a/shelfhaven/frontends/jsonrpc.py
+++ b/shelfhaven/frontends/jsonrpc.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 
 from shelfhaven.config import Config
@@ -19,6 +20,7 @@
 from shelfhaven.server.log import Log
 
 MAX_UNANSWERED = 32  # requests on a connection; the protocol's limit
+MESSAGES_PER_TURN = MAX_UNANSWERED  # handled before the event loop serves other connections
 MAX_CLOCK_DIFFERENCE_S = 60.0  # routers run on this machine, and no client waits this long for a request
 
 
@@ -56,6 +58,7 @@
         self.index = index
         self.unread_answer_timeout = index.max_deadline
         self.parser = wire.FrameParser()
+        self.first_error = ""  # text, as a stored exception would keep this frame and the connection alive
         self.shutdown_announced = False
 
     @property
@@ -63,24 +66,28 @@
         """Whether part of a message has been read."""
         return bool(self.parser.unread)
 
-    def _parse(self, data: bytes) -> None:
-        """Parse received bytes and handle the messages in them.
+    def _parse(self, data: bytes) -> bool:
+        """Parse received bytes and handle the messages in them, at most `MESSAGES_PER_TURN`.
 
         A message that cannot be read ends the connection.  Requests that were received with it still get
         their answers: those before it, and those after it as far as the stream can be split into messages.
         """
-        first_error = ""  # text, as a stored exception would keep this frame and the connection alive
+        message_count = 0
         try:
-            for body in self.parser.feed(data):
+            for body in itertools.islice(self.parser.feed(data), MESSAGES_PER_TURN):
+                message_count += 1
                 self._record_message()
                 try:
                     self._handle_message(wire.decode(body))
                 except wire.StreamError as error:
-                    first_error = first_error or str(error)
+                    self.first_error = self.first_error or str(error)
         except wire.StreamError as error:
-            first_error = first_error or str(error)
-        if first_error:
-            raise UnreadableStreamError(first_error)
+            raise UnreadableStreamError(self.first_error or str(error)) from None
+        if message_count == MESSAGES_PER_TURN:
+            return True
+        if self.first_error:
+            raise UnreadableStreamError(self.first_error)
+        return False
 
     def _encode_unreadable(self, _error: UnreadableStreamError) -> bytes:
         return wire.UNREADABLE_ANSWER
@@ -90,19 +97,26 @@
             case wire.Request():
                 self._handle_request(message)
             case wire.CancelRequest():
-                if message.id in self.unanswered:
-                    self.unanswered.discard(message.id)
-                    self.notify_core(messages.CancelRequest(self, message.id))
-                    # The protocol does not require a confirmation, but permits it.
-                    self.outgoing.append(wire.encode_error(message.id, wire.CANCELLED, "taken back", None))
+                self._cancel(message.id)
             case wire.HealthCheck():
                 self.carries_health_checks = True
                 self._register(message.id)
+                self.message_allowance.charge()
                 self.notify_core(messages.CheckHealth(self, message.id))
             case wire.InvalidMessage():
                 self._register(message.id)
+                self.message_allowance.charge()
                 self.notify_core(messages.RejectMalformed(self, message.id, message.code, message.message))
 
+    def _cancel(self, ref: int) -> None:
+        if ref not in self.unanswered:
+            self.message_allowance.charge()
+            return
+        self.unanswered.discard(ref)
+        self.notify_core(messages.CancelRequest(self, ref))
+        # The protocol does not require a confirmation, but permits it.
+        self.outgoing.append(wire.encode_error(ref, wire.CANCELLED, "taken back", None))
+
     def _register(self, ref: int) -> None:
         if ref in self.unanswered:
             raise wire.StreamError("id of a request that is still unanswered")
@@ -124,9 +138,11 @@
         elif len(self.unanswered) > MAX_UNANSWERED:
             self._reject(request, wire.INVALID_REQUEST, "too many open requests")
         else:
+            self.message_allowance.credit()
             self.notify_core(self._build_submission(request, class_index, tenant))
 
     def _reject(self, request: wire.Request, code: int, reason: str) -> None:
+        self.message_allowance.charge()
         self.notify_core(messages.RejectMalformed(self, request.id, code, reason))
 
     def _build_submission(
--- a/shelfhaven/frontends/message_connection.py
+++ b/shelfhaven/frontends/message_connection.py
@@ -20,6 +20,7 @@
 from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
+from shelfhaven.server.message_allowance import MessageAllowance
 
 READ_BYTES = 64 * 1024  # at most, in one read
 HALF_CLOSED_POLL_S = 0.05  # between checks whether a peer that ended its stream has closed the connection
@@ -45,10 +46,13 @@
         self.notify_core = notify_core
         self.mailbox: Mailbox[messages.Answer] = Mailbox(self._queue_answer, log, self._flush)
         self.answer_ready = asyncio.Event()  # there are answers to send to a half-closed peer
+        self.message_allowance = MessageAllowance(time.monotonic())
 
     @abstractmethod
-    def _parse(self, data: bytes) -> None:
-        """Parse received bytes and notify the core of each message in them.
+    def _parse(self, data: bytes) -> bool:
+        """Parse received bytes and notify the core of messages in them, as many as one turn allows.
+
+        Return whether further messages may be complete; they are parsed in the next turn, without new data.
 
         Raises:
             UnreadableStreamError: the stream cannot be read any further.
@@ -65,14 +69,43 @@
     async def _serve(self) -> None:
         """Read messages until the stream ends or cannot be read; then send outstanding answers."""
         while self.state is ConnectionState.OPEN:
-            data = await self.stream.read_bytes(READ_BYTES, partial=True)
-            self._handle_data(data)
-            if self.stream.writing():  # backpressure: stop reading until the peer has read its answers
-                await self.stream.write(b"")
+            has_more = self._handle_data(await self._read())
+            while has_more:
+                await self._hold_back()
+                await asyncio.sleep(0)  # ends the turn: the event loop serves the other connections
+                has_more = self._handle_data(b"")
+            await self._hold_back()
         await self.output_finished.wait()
         await self.stream.write(b"")  # waits until pending bytes have been sent
         await self._prepare_close()
 
+    async def _read(self) -> bytes:
+        """Read what has been received; let the event loop serve the other connections first.
+
+        A read of data that is there already does not suspend the task: without this, a peer that sends as
+        fast as its data is handled would keep the event loop to itself.
+        """
+        reading = asyncio.ensure_future(self.stream.read_bytes(READ_BYTES, partial=True))
+        if reading.done():
+            await asyncio.sleep(0)
+        try:
+            return await reading
+        finally:
+            del reading  # its exception refers to this frame, which would keep the connection alive
+
+    async def _hold_back(self) -> None:
+        """Stop reading until the peer has read its answers, and while it sends too much that is of no use."""
+        delay = self.message_allowance.delay(time.monotonic())
+        if not delay and not self.stream.writing():
+            return
+        self.held_back = True
+        if delay:
+            await asyncio.sleep(delay)
+        if self.stream.writing():
+            await self.stream.write(b"")
+        self.held_back = False
+        self.message_awaited_since = time.monotonic()
+
     async def _prepare_close(self) -> None:
         """Prepare an unreadable stream for the close."""
         self.stream.detach()
@@ -118,14 +151,18 @@
         for ref in self.unanswered:
             self.notify_core(messages.CancelRequest(self, ref))
 
-    def _handle_data(self, data: bytes) -> None:
-        """Handle received bytes; bytes received on an unreadable connection are discarded."""
+    def _handle_data(self, data: bytes) -> bool:
+        """Handle received bytes for one turn; return whether the next turn may find further messages.
+
+        Bytes received on an unreadable connection are discarded.
+        """
         if self.state is not ConnectionState.OPEN:
-            return
+            return False
         if not self.has_partial_message:
             self.message_awaited_since = time.monotonic()
+        has_more = False
         try:
-            self._parse(data)
+            has_more = self._parse(data)
         except UnreadableStreamError as error:
             self.closed_by_reader = True
             self.fail_unreadable(error)
@@ -135,6 +172,7 @@
             self.announce_shutdown()
         if self.outgoing:
             self._flush()
+        return has_more
 
     def _queue_answer(self, answer: messages.Answer) -> None:
         if answer.request_ref not in self.unanswered:  # the request has been cancelled
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -79,7 +79,7 @@
         """Whether part of a request has been read."""
         return self.parser.has_partial_request
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes) -> bool:
         try:
             requests = self.parser.feed(data)
         except wire.StreamError as error:
@@ -91,6 +91,7 @@
             self._handle_request(request)
         if self.unanswered and self.parser.has_partial_request:
             raise UnreadableStreamError("bytes after the request")
+        return False
 
     def _handle_request(self, request: wire.Request) -> None:
         self.request_ref += 1
@@ -99,11 +100,14 @@
         path = request.variables.get("PATH_INFO", "")
         if path in (self.listen.health_path, self.listen.load_path):
             self.carries_health_checks = True
+            self.message_allowance.charge()
             self.notify_core(messages.CheckHealth(self, self.request_ref))
             return
         try:
             self.notify_core(self._build_submission(request))
+            self.message_allowance.credit()
         except MappingError as error:
+            self.message_allowance.charge()
             self.notify_core(messages.RejectMalformed(self, self.request_ref, error.status, str(error)))
 
     def _build_submission(self, request: wire.Request) -> messages.SubmitRequest:
