Bound the memory of incomplete messages, and of heads with many fields

What operators saw: with hundreds of clients at once that stopped half way through large requests or sent heads of thousands of short fields, a process passed its memory limit.

Cause: messages were limited one by one and not together; decoded fields, which take twenty times the bytes of short ones, were kept while the body or the verdict was awaited.

Change: uwsgi blocks are kept undecoded until the body is there; only the fields that a mapping reads are kept of a subrequest; 512 fields at most (431 over that, as parsing 8,000 blocks the event loop for 30 ms); all incomplete messages together take a sixteenth of the memory limit, over which the one that began first is answered as not run; reads of 16 KB.

--- a/shelfhaven/frontends/connection.py
+++ b/shelfhaven/frontends/connection.py
@@ -15,6 +15,7 @@
 import time
 from abc import ABC, abstractmethod
 from enum import Enum
+from http import HTTPStatus
 
 from tornado.iostream import StreamClosedError
 
@@ -22,6 +23,7 @@
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import peek
+from shelfhaven.server.receive_buffers import ReceiveBuffers
 
 CLOSE_RACE_WINDOW_S = 0.05  # by the protocol, a request may still cross a close this soon after a message
 MESSAGE_TIMEOUT_S = 1.5  # until a message is complete; a caller that sends nothing is closed within 3 s
@@ -53,6 +55,7 @@
     Attributes:
         message_timeout: seconds within which a message that has begun must be complete.
         unread_answer_timeout: seconds within which the peer must have read an answer; None for no limit.
+        receive_buffers: counts incomplete messages; the listener sets the one of the process.
     """
 
     message_timeout = MESSAGE_TIMEOUT_S
@@ -61,6 +64,7 @@
     def __init__(self, stream: DetachableStream, log: Log) -> None:
         self.stream = stream
         self.log = log
+        self.receive_buffers: ReceiveBuffers[Connection] = ReceiveBuffers()
         self.state = ConnectionState.OPEN
         self.unanswered: set[int] = set()  # references of requests
         self.outgoing: list[bytes] = []
@@ -73,6 +77,11 @@
         self.closed_by_reader = False  # the reading task has done its last read and closes the stream itself
         self.output_finished = asyncio.Event()  # an unreadable connection has no more answers to send
 
+    @property
+    @abstractmethod
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are kept of a message that is not complete."""
+
     @property
     @abstractmethod
     def has_partial_message(self) -> bool:
@@ -134,6 +143,7 @@
     def _release(self) -> None:
         """Close the socket and cancel the unanswered requests, whose answers can no longer be sent."""
         self.state = ConnectionState.CLOSED
+        self.receive_buffers.update(self, 0)
         self.abort()
         self._cancel_unanswered()
         self.unanswered.clear()
@@ -148,6 +158,19 @@
         """Begin the graceful close of a connection without unanswered requests."""
         self.stream.detach()
 
+    @abstractmethod
+    def _discard_partial_message(self) -> None:
+        """Free the memory of an incomplete message, which will not be read."""
+
+    def _record_buffered_bytes(self) -> None:
+        """Record what is kept of an incomplete message; if all connections keep too much, close some."""
+        buffers = self.receive_buffers
+        buffers.update(self, self.buffered_bytes)
+        while (connection := buffers.connection_to_close()) is not None:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            connection.fail_unreadable(UnreadableStreamError("too many incomplete messages here", status))
+            buffers.update(connection, 0)
+
     def _record_message(self) -> None:
         """Record that a complete message was received."""
         self.last_used_at = self.message_awaited_since = time.monotonic()
@@ -160,6 +183,8 @@
         self.log.event("connection_broken", error=str(error), open=len(self.unanswered))
         self.state = ConnectionState.UNREADABLE
         self.outgoing.append(self._encode_unreadable(error))
+        self.receive_buffers.update(self, 0)
+        self._discard_partial_message()
         self._flush()
 
     def is_idle(self) -> bool:
--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -19,6 +19,7 @@
 from typing import NamedTuple
 
 from shelfhaven.backends.proxy import ProxyRunner
+from shelfhaven.frontends.connection import Connection
 from shelfhaven.frontends.message_connection import NotifyCore
 from shelfhaven.operator_config import Listen
 from shelfhaven.routing import processor_policy, stream_admission
@@ -26,6 +27,7 @@
 from shelfhaven.server import messages
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
+from shelfhaven.server.receive_buffers import ReceiveBuffers
 
 ATTEMPT_ID_BYTES = 8
 MEASUREMENT_INTERVAL_S = 0.02  # between measurements of the event-loop lag and the CPU time
@@ -47,6 +49,7 @@
         is_healthy: tells whether health checks are answered with success.
         cores: number of CPU cores that this server may use.
         descriptors: the file descriptors of this server.
+        receive_buffers: counts the incomplete messages of all connections.
     """
 
     runner: ProxyRunner
@@ -55,6 +58,7 @@
     is_healthy: Callable[[], bool]
     cores: float
     descriptors: Descriptors
+    receive_buffers: ReceiveBuffers[Connection]
 
 
 class AnswerCountKey(NamedTuple):
--- a/shelfhaven/frontends/jsonrpc.py
+++ b/shelfhaven/frontends/jsonrpc.py
@@ -61,6 +61,11 @@
         self.first_error = ""  # text, as a stored exception would keep this frame and the connection alive
         self.shutdown_announced = False
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are kept of an incomplete message."""
+        return len(self.parser.unread)
+
     @property
     def has_partial_message(self) -> bool:
         """Whether part of a message has been read."""
@@ -89,6 +94,9 @@
             raise UnreadableStreamError(self.first_error)
         return False
 
+    def _discard_partial_message(self) -> None:
+        self.parser.unread.clear()
+
     def _encode_unreadable(self, _error: UnreadableStreamError) -> bytes:
         return wire.UNREADABLE_ANSWER
 
--- a/shelfhaven/frontends/listener.py
+++ b/shelfhaven/frontends/listener.py
@@ -26,6 +26,7 @@
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox, after_reading
+from shelfhaven.server.receive_buffers import ReceiveBuffers
 
 BACKLOG = 1024
 MIN_IDLE_CHECK_INTERVAL_S = 0.05  # between checks for idle connections
@@ -72,6 +73,7 @@
     """Actor of one listening socket and its connections.
 
     `max_connections` limits the open connections; with 0 only the available descriptors limit them.
+    `receive_buffers` counts the incomplete messages of all listeners.
     """
 
     def __init__(
@@ -81,12 +83,14 @@
         make_connection: ConnectionFactory,
         log: Log,
         max_connections: int = 0,
+        receive_buffers: ReceiveBuffers[Connection] | None = None,
     ) -> None:
         self.address = address
         self.make_connection = make_connection
         self.log = log
         self.descriptors = descriptors
         self.max_connections = max_connections
+        self.receive_buffers = receive_buffers
         descriptors.on_released.append(self._resume_accepting)
         self.connections: dict[Connection, asyncio.Task[None]] = {}
         self.socket: socket.socket | None = None
@@ -221,6 +225,8 @@
         stream = DetachableStream(accepted)
         stream.set_nodelay(accepted.family != socket.AF_UNIX)
         connection = self.make_connection(stream, peer)
+        if self.receive_buffers:
+            connection.receive_buffers = self.receive_buffers
         task = asyncio.get_running_loop().create_task(connection.run())
         self.connections[connection] = task
         task.add_done_callback(lambda _: self._remove_connection(connection))
--- a/shelfhaven/frontends/message_connection.py
+++ b/shelfhaven/frontends/message_connection.py
@@ -16,13 +16,12 @@
 from typing import TypeAlias
 
 from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
-from shelfhaven.frontends.stream import DetachableStream
+from shelfhaven.frontends.stream import READ_CHUNK_BYTES, DetachableStream
 from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import Mailbox
 from shelfhaven.server.message_allowance import MessageAllowance
 
-READ_BYTES = 64 * 1024  # at most, in one read
 HALF_CLOSED_POLL_S = 0.05  # between checks whether a peer that ended its stream has closed the connection
 
 NotifyCore: TypeAlias = Callable[
@@ -85,7 +84,7 @@
         A read of data that is there already does not suspend the task: without this, a peer that sends as
         fast as its data is handled would keep the event loop to itself.
         """
-        reading = asyncio.ensure_future(self.stream.read_bytes(READ_BYTES, partial=True))
+        reading = asyncio.ensure_future(self.stream.read_bytes(READ_CHUNK_BYTES, partial=True))
         if reading.done():
             await asyncio.sleep(0)
         try:
@@ -170,6 +169,8 @@
             self.fail_unreadable(UnreadableStreamError(traceback.format_exc(limit=-4)))
         if self.draining:
             self.announce_shutdown()
+        if not has_more:  # what waits for its turn is no incomplete message
+            self._record_buffered_bytes()
         if self.outgoing:
             self._flush()
         return has_more
--- a/shelfhaven/frontends/stream.py
+++ b/shelfhaven/frontends/stream.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
 CHUNK_BYTES = 64 * 1024  # in which unsent bytes are copied
+READ_CHUNK_BYTES = 16 * 1024  # at most, in one read: as much as each of hundreds of connections may keep
 
 
 class DetachableStream(IOStream):
@@ -22,13 +24,15 @@
         eof_received: whether the end of the peer's stream has been read.
         detached_socket: the socket, once this stream has ended without closing it.
         unsent: the bytes that had been written but not sent when the socket was detached.
+        on_received: called in the next iteration of the event loop after bytes were received.
     """
 
     def __init__(self, sock: socket.socket) -> None:
-        super().__init__(sock)
+        super().__init__(sock, read_chunk_size=READ_CHUNK_BYTES)
         self.eof_received = False
         self.detached_socket: socket.socket | None = None
         self.unsent = b""
+        self.on_received: Callable[[], None] | None = None
         self._detach_on_close = False
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -36,12 +40,14 @@
         count = super().read_from_fd(buf)
         if count == 0:
             self.eof_received = self._detach_on_close = True
+        elif count and self.on_received:
+            self.io_loop.add_callback(self.on_received)
         return count
 
     @property
-    def has_unread_bytes(self) -> bool:
-        """Whether bytes have been received that nobody has read from this stream."""
-        return bool(self._read_buffer_size)
+    def unread_bytes(self) -> int:
+        """Number of bytes that have been received and that nobody has read from this stream."""
+        return self._read_buffer_size
 
     def detach_on_close(self) -> None:
         """Leave the socket open whatever closes the stream from now on."""
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -35,6 +35,7 @@
 from shelfhaven.server import messages
 
 MILLISECONDS_PER_SECOND = 1000
+ORIGINAL_FIELDS = ("X-Original-Method", "X-Original-Uri")  # of the proxied request, as the library names them
 CONFLICT = 409  # status of the answer to a duplicate whose original has run
 
 
@@ -81,10 +82,9 @@
         """Return the proxied request as CGI variables, which the mapping reads."""
         headers = self.request.headers
         target = headers.get("X-Original-URI", self.request.uri or "")
-        variables = {f"HTTP_{name.upper().replace('-', '_')}": value for name, value in headers.get_all()}
+        variables = {_variable_name(name): value for name, value in headers.get_all()}
         variables["PATH_INFO"], _, variables["QUERY_STRING"] = target.partition("?")
         variables["REQUEST_METHOD"] = headers.get("X-Original-Method", self.request.method or "")
-        variables["CONTENT_TYPE"] = headers.get("Content-Type", "")
         return variables
 
     def _encode_continue(
@@ -114,7 +114,12 @@
     def __init__(self, listen: Listen, mapping: RequestMapping, context: ProxyListenerContext) -> None:
         super().__init__(listen, mapping, context)
         self.listener = Listener(
-            listen.address, context.descriptors, self._make_connection, self.log, listen.max_connections
+            listen.address,
+            context.descriptors,
+            self._make_connection,
+            self.log,
+            listen.max_connections,
+            context.receive_buffers,
         )
         self.stopped = False  # whether it no longer listens; what was sent before gets a rejection
 
@@ -124,7 +129,10 @@
             request.remote_ip = peer
             await self._serve(request)
 
-        return SubrequestConnection(stream, self.listen, handle, self.log)
+        return SubrequestConnection(stream, self.listen, self._is_field_used, handle, self.log)
+
+    def _is_field_used(self, name: str) -> bool:
+        return name in ORIGINAL_FIELDS or _variable_name(name) in self.mapping.variable_names
 
     async def start(self) -> None:
         """Listen.
@@ -209,6 +217,12 @@
             self.log.event("proxy_gone", peer=request.remote_ip)
 
 
+def _variable_name(field_name: str) -> str:
+    """Return the name of the CGI variable of a header field."""
+    name = field_name.upper().replace("-", "_")
+    return name if name == "CONTENT_TYPE" else f"HTTP_{name}"
+
+
 def _http_connection(request: HTTPServerRequest) -> HTTP1Connection:
     """Return the connection of a request; this server has only HTTP/1.1 connections."""
     connection = request.connection
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -31,6 +31,10 @@
 from shelfhaven.server.log import Log
 
 MAX_HEADER_BYTES = 32 * 1024
+MAX_HEADER_FIELDS = 512  # of a request; parsing thousands of short ones takes as long as hundreds of requests
+LINES_BESIDE_FIELDS = 2  # the request line and the empty line
+# Header fields that the library reads after it has handed them over, named as it does.
+LIBRARY_FIELDS = frozenset(("Content-Length", "Transfer-Encoding", "Connection", "Expect", "Host"))
 IDLE_TIMEOUT_S = 60.0  # after which a connection without a request is closed
 
 Handler: TypeAlias = Callable[[HTTPServerRequest], Awaitable[None]]
@@ -40,13 +44,23 @@
     """Actor of one connection of a proxy.
 
     Attributes:
+        is_field_used: tells whether a header field, named as the library does, is needed to serve a request.
         handle: serves one request and writes its response to the request's connection, unless that is closed.
         method_in_service: method of the request that is being served; empty if there is none.
     """
 
-    def __init__(self, stream: DetachableStream, listen: Listen, handle: Handler, log: Log) -> None:
+    def __init__(
+        self,
+        stream: DetachableStream,
+        listen: Listen,
+        is_field_used: Callable[[str], bool],
+        handle: Handler,
+        log: Log,
+    ) -> None:
         super().__init__(stream, log)
+        self.is_field_used = is_field_used
         stream.detach_on_close()  # also where the HTTP library closes it
+        stream.on_received = self._record_buffered_bytes
         self.handle = handle
         self.message_timeout = listen.request_timeout
         self.parameters = HTTP1ConnectionParameters(
@@ -59,10 +73,15 @@
         self.request_ref = 0  # of the current or last request
         self.task: asyncio.Task[None] | None = None  # serves the current or last request
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are kept of an incomplete request."""
+        return self.stream.unread_bytes
+
     @property
     def has_partial_message(self) -> bool:
         """Whether part of a request has been read, or all of one that follows an unanswered one."""
-        return self.stream.has_unread_bytes
+        return self.stream.unread_bytes > 0
 
     def is_message_overdue(self, now: float) -> bool:
         """Whether the first request, or the rest of an incomplete one, has not come in time."""
@@ -81,8 +100,8 @@
     async def _serve(self) -> None:
         """Read and serve requests until the stream ends."""
         while self.state is ConnectionState.OPEN and not self.stream.closed():
-            connection = HTTP1Connection(self.stream, False, self.parameters)
-            reader = _RequestReader(connection, self._begin_request)
+            connection = _ServerConnection(self.stream, False, self.parameters)
+            reader = _RequestReader(connection, self.is_field_used, self._begin_request)
             try:
                 await connection.read_response(reader)
             except StreamClosedError as error:
@@ -94,6 +113,7 @@
 
     def _begin_request(self, request: HTTPServerRequest) -> None:
         self._record_message()
+        self._record_buffered_bytes()
         self.request_ref += 1
         self.unanswered.add(self.request_ref)
         self.method_in_service = request.method or ""
@@ -122,23 +142,45 @@
             with contextlib.suppress(OSError):
                 self.stream.detached_socket.send(self._encode_unreadable(error))
 
+    def _discard_partial_message(self) -> None:
+        """Do nothing: what the library has received goes with its stream."""
+
     def _cancel_unanswered(self) -> None:
         if self.task:
             self.task.cancel()
 
     def _encode_unreadable(self, error: UnreadableStreamError) -> bytes:
         status = error.code or HTTPStatus.BAD_REQUEST
+        fields = [http.NOT_RUN, *http.retry_after_fields(status)]
         text = f"{error}\n".encode()
-        return http.encode_response(status, [http.NOT_RUN], text, close=True, method=self.method_in_service)
+        return http.encode_response(status, fields, text, close=True, method=self.method_in_service)
+
+
+class _ServerConnection(HTTP1Connection):
+    """The library's connection, with a limit on the number of header fields."""
+
+    def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
+        if data.count(b"\n") > MAX_HEADER_FIELDS + LINES_BESIDE_FIELDS:
+            error = UnsatisfiableReadError("too many header fields")
+            self.stream.close(error)
+            raise StreamClosedError(real_error=error)
+        return super()._parse_headers(data)
 
 
 class _RequestReader(HTTPMessageDelegate):
-    """Receives one request from the library; its body is discarded."""
+    """Receives one request from the library; its body and the header fields of no use are discarded.
+
+    The library keeps the header fields until the request is answered, in twenty times the size that they had.
+    """
 
     def __init__(
-        self, connection: HTTP1Connection, begin_request: Callable[[HTTPServerRequest], None]
+        self,
+        connection: HTTP1Connection,
+        is_field_used: Callable[[str], bool],
+        begin_request: Callable[[HTTPServerRequest], None],
     ) -> None:
         self.connection = connection
+        self.is_field_used = is_field_used
         self.begin_request = begin_request
         self.request: HTTPServerRequest | None = None
 
@@ -147,6 +189,9 @@
     ) -> None:
         """Receive the headers."""
         assert isinstance(start_line, RequestStartLine)
+        for name in list(headers):
+            if name not in LIBRARY_FIELDS and not self.is_field_used(name):
+                del headers[name]
         self.request = HTTPServerRequest(connection=self.connection, start_line=start_line, headers=headers)
 
     def finish(self) -> None:
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -23,8 +23,8 @@
 import orjson
 
 from shelfhaven.frontends.connection import ConnectionState, UnreadableStreamError
-from shelfhaven.frontends.message_connection import READ_BYTES, MessageConnection, NotifyCore
-from shelfhaven.frontends.stream import DetachableStream
+from shelfhaven.frontends.message_connection import MessageConnection, NotifyCore
+from shelfhaven.frontends.stream import READ_CHUNK_BYTES, DetachableStream
 from shelfhaven.operator_config import Listen
 from shelfhaven.protocol import http
 from shelfhaven.protocol import uwsgi as wire
@@ -74,11 +74,19 @@
         self.request_ref = 0  # of the current or last request
         self.request_method = ""  # of the current or last request
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are kept of an incomplete request."""
+        return self.parser.buffered_bytes
+
     @property
     def has_partial_message(self) -> bool:
         """Whether part of a request has been read."""
         return self.parser.has_partial_request
 
+    def _discard_partial_message(self) -> None:
+        self.parser.discard()
+
     def _parse(self, data: bytes) -> bool:
         try:
             requests = self.parser.feed(data)
@@ -143,9 +151,8 @@
         """Return the error response; nothing if a request is unanswered, as the peer expects its answer."""
         if self.unanswered:
             return b""
-        return http.encode_response(
-            error.code or INVALID, [PLAIN_TEXT, http.NOT_RUN], f"{error}\n".encode(), close=True
-        )
+        fields = [PLAIN_TEXT, http.NOT_RUN, *http.retry_after_fields(error.code)]
+        return http.encode_response(error.code or INVALID, fields, f"{error}\n".encode(), close=True)
 
     def _encode(self, answer: messages.Answer) -> bytes:
         close = not self.keep_alive or self.draining
@@ -188,7 +195,7 @@
         async with asyncio.timeout(LINGERING_CLOSE_TIMEOUT_S):
             bytes_left = MAX_LINGERING_CLOSE_BYTES
             while bytes_left > 0:
-                bytes_left -= len(await self.stream.read_bytes(READ_BYTES, partial=True))
+                bytes_left -= len(await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True))
 
 
 def _retry_fields(answer: messages.RejectedAnswer) -> list[tuple[str, str]]:
--- a/shelfhaven/program/composition.py
+++ b/shelfhaven/program/composition.py
@@ -81,7 +81,10 @@
             dependencies.listeners.add_router_listener(listen.address, listen.max_connections)
         elif listen.protocol.is_for_proxies:
             composition.proxies = composition.proxies or Proxies(
-                dependencies.core, dependencies.descriptors, dependencies.log
+                dependencies.core,
+                dependencies.descriptors,
+                dependencies.listeners.receive_buffers,
+                dependencies.log,
             )
             composition.proxies.add_listener(listen, mappings.by_name[listen.mapping])
         else:
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -11,12 +11,14 @@
 from typing import TYPE_CHECKING
 
 from shelfhaven.config import Address, Config
+from shelfhaven.frontends.connection import Connection
 from shelfhaven.frontends.jsonrpc import ClassAndTenantIndex, RouterConnection
 from shelfhaven.frontends.listener import ConnectionFactory, Listener
 from shelfhaven.program.component import Component, Files, StatusFields
 from shelfhaven.server.core import Core
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.log import Log
+from shelfhaven.server.receive_buffers import ReceiveBuffers, buffer_limit
 
 if TYPE_CHECKING:  # at run time imported only if there is an operator configuration
     from pathlib import Path
@@ -40,6 +42,8 @@
         self.config = config
         self.core = core
         self.descriptors = descriptors
+        memory_limit = buffer_limit(config.limits.memory_mb)
+        self.receive_buffers: ReceiveBuffers[Connection] = ReceiveBuffers(memory_limit)
         self.log = log
         self.listeners: list[Listener] = []
         if config.listen:
@@ -66,7 +70,9 @@
         self._add(listen.address, make_connection, listen.max_connections)
 
     def _add(self, address: Address | Path, make_connection: ConnectionFactory, max_connections: int) -> None:
-        listener = Listener(address, self.descriptors, make_connection, self.log, max_connections)
+        listener = Listener(
+            address, self.descriptors, make_connection, self.log, max_connections, self.receive_buffers
+        )
         self.listeners.append(listener)
 
     async def start(self) -> None:
@@ -142,11 +148,14 @@
 class Proxies(Component):
     """Listeners for proxies, and the runner that represents the requests that the proxies run."""
 
-    def __init__(self, core: Core, descriptors: Descriptors, log: Log) -> None:
+    def __init__(
+        self, core: Core, descriptors: Descriptors, receive_buffers: ReceiveBuffers[Connection], log: Log
+    ) -> None:
         from shelfhaven.backends.proxy import ProxyRunner
 
         self.core = core
         self.descriptors = descriptors
+        self.receive_buffers = receive_buffers
         self.log = log
         self.runner: ProxyRunner = ProxyRunner(core.config.settings.cores, core.put, log)
         self.proxy_listeners: list[ProxyListener] = []
@@ -163,6 +172,7 @@
             is_healthy=self._is_healthy,
             cores=self.core.config.limits.cores,
             descriptors=self.descriptors,
+            receive_buffers=self.receive_buffers,
         )
         if listen.protocol is ListenProtocol.EXTERNAL_PROCESSING:
             from shelfhaven.frontends.extproc import ExternalProcessingListener
--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -22,6 +22,7 @@
 STATUS_DIGITS = 3
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)  # RFC 9112, section 6.3
 NOT_RUN = ("X-Not-Run", "1")  # field of a response to a request that did not run
+RETRY_SOON = ("Retry-After", "1")  # in seconds, the least that the field can say
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -173,6 +174,11 @@
     return head.encode() + body
 
 
+def retry_after_fields(status: int) -> list[tuple[str, str]]:
+    """Return the header fields that say when to retry, for a response that codecs make by themselves."""
+    return [RETRY_SOON] if status == HTTPStatus.SERVICE_UNAVAILABLE else []
+
+
 def response_content(method: str, body: bytes) -> bytes:
     """Return what follows the header fields: a response to HEAD ends with them, whatever its length says."""
     return b"" if method == HEAD else body
--- a/shelfhaven/protocol/uwsgi.py
+++ b/shelfhaven/protocol/uwsgi.py
@@ -24,6 +24,7 @@
 MAX_BLOCK_BYTES = 16 * 1024  # gateways send 1 to 3 KiB of variables
 MAX_BODY_BYTES = 64 * 1024
 MAX_NAME_BYTES = 256
+MAX_VARIABLES = 512  # of a request; gateways send two dozen and one for each header field
 MAX_CONTENT_LENGTH_DIGITS = 18  # bounds the cost of the conversion: a peer may send thousands of digits
 CONTENT_LENGTH = "CONTENT_LENGTH"
 
@@ -46,9 +47,12 @@
 
 @dataclass(frozen=True, slots=True)
 class _PendingBody:
-    """The variables of a request whose body has not arrived completely."""
+    """A request whose body has not arrived completely.
 
-    variables: dict[str, str]
+    The block is kept as it came: thousands of short variables take twenty times its size once decoded.
+    """
+
+    block: bytes
     length: int
 
 
@@ -78,19 +82,34 @@
         """Whether a request has begun and is not complete."""
         return self._pending is not None or bool(self.unread)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are kept of an incomplete request."""
+        return len(self.unread) + (len(self._pending.block) if self._pending else 0)
+
+    def discard(self) -> None:
+        """Forget the incomplete request."""
+        self.unread.clear()
+        self._pending = None
+
     def _next_request(self) -> Request | None:
+        variables = None
         if self._pending is None:
-            self._pending = self._read_block()
+            block = self._read_block()
+            if block is None:
+                return None
+            variables = decode_block(block)
+            self._pending = _PendingBody(block, self._parse_content_length(variables))
         pending = self._pending
-        if pending is None or len(self.unread) < pending.length:
+        if len(self.unread) < pending.length:
             return None
         body = bytes(self.unread[: pending.length])
         del self.unread[: pending.length]
         self._pending = None
-        return Request(pending.variables, body)
+        return Request(variables or decode_block(pending.block), body)
 
-    def _read_block(self) -> _PendingBody | None:
-        """Return the variables of the next request; None until their block is complete."""
+    def _read_block(self) -> bytes | None:
+        """Return the block of the next request's variables; None until it is complete."""
         if self.unread and self.unread[0] != APPLICATION_REQUEST:
             raise StreamError(HTTPStatus.NOT_IMPLEMENTED, f"modifier1 {self.unread[0]} is not served here")
         if len(self.unread) < HEADER.size:
@@ -102,10 +121,9 @@
         end = HEADER.size + size
         if len(self.unread) < end:
             return None
-        variables = decode_block(bytes(self.unread[HEADER.size : end]))
-        length = self._parse_content_length(variables)
+        block = bytes(self.unread[HEADER.size : end])
         del self.unread[:end]
-        return _PendingBody(variables, length)
+        return block
 
     def _parse_content_length(self, variables: Mapping[str, str]) -> int:
         digits = variables.get(CONTENT_LENGTH, "")
@@ -137,6 +155,9 @@
             raise StreamError(HTTPStatus.BAD_REQUEST, reason)
         if name in variables:
             raise StreamError(HTTPStatus.BAD_REQUEST, f"{name}: twice in one request")
+        if len(variables) == MAX_VARIABLES:
+            reason = f"over {MAX_VARIABLES} variables"
+            raise StreamError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, reason)
         position = _string_end(block, name_end, "value")
         variables[name] = text[name_end + STRING_LENGTH.size : position]
     return variables
--- a/shelfhaven/routing/request_mapping.py
+++ b/shelfhaven/routing/request_mapping.py
@@ -23,6 +23,9 @@
 SECONDS_PER_MILLISECOND = 0.001
 TRUE_VALUES = ("1", "true", "yes", "on")
 
+# Variables of each request that do not come from a header field of their own.
+STANDARD_VARIABLES = ("REQUEST_METHOD", "PATH_INFO", "QUERY_STRING", "CONTENT_TYPE")
+
 BAD_REQUEST = 400
 FORBIDDEN = 403
 NOT_FOUND = 404
@@ -125,6 +128,15 @@
     footprint_kb: float = 24.0
     extra_variables: tuple[str, ...] = ()
 
+    def variable_names(self) -> frozenset[str]:
+        """Return the names of the variables that requests are mapped by, or that backends get."""
+        sources = (
+            self.tenant, self.idempotency_key, self.budget, self.retry, self.priority, self.partition_key,
+            self.work_hint, self.caller,
+        )  # fmt: skip
+        named = (source.variable for source in sources if source.variable)
+        return frozenset((*STANDARD_VARIABLES, *named, *self.extra_variables))
+
 
 @dataclass(frozen=True, slots=True)
 class MappedRequest:
@@ -173,13 +185,16 @@
 
     settings: MappingSettings
     callers: CallerNumbers = field(init=False)
+    variable_names: frozenset[str] = field(init=False)  # that the rules refer to
 
     def __post_init__(self) -> None:
+        self.variable_names = self.settings.variable_names()
         self.callers = CallerNumbers(self.settings.max_callers, self.settings.caller_idle_time)
 
     def update(self, settings: MappingSettings) -> None:
         """Replace the rules; callers keep their numbers."""
         self.settings = settings
+        self.variable_names = settings.variable_names()
         self.callers.max_names = settings.max_callers
         self.callers.idle_time = settings.caller_idle_time
 
--- a/tests/frontends/node_process.py
+++ b/tests/frontends/node_process.py
@@ -39,10 +39,7 @@
     tenant default="retail"
     caller variable="HTTP_X_GATEWAY"
 }}
-listen "g" protocol="uwsgi" address="{gateways}" mapping="m" {{
-    keep true
-    {uwsgi}
-}}
+listen "g" protocol="uwsgi" address="{gateways}" mapping="m" keep=true {uwsgi}
 listen "r" protocol="jsonrpc" address="{routers}"
 listen "s" protocol="subrequest" address="{subrequests}" mapping="m" lease="300ms" verdict="300ms"
 listen "p" protocol="extproc" address="{streams}" mapping="m" lease="300ms" verdict="300ms"
--- a/tests/frontends/test_consulting.py
+++ b/tests/frontends/test_consulting.py
@@ -22,6 +22,7 @@
 from shelfhaven.routing.processor_policy import ConsultationStage, ConsultSettings
 from shelfhaven.server import messages
 from shelfhaven.server.descriptors import Descriptors
+from shelfhaven.server.receive_buffers import ReceiveBuffers
 from tests.peers import run_async
 
 LEASE_S = 0.02
@@ -67,7 +68,9 @@
         log: Any = SimpleNamespace(event=lambda event, **_: self.events.append(event))
         settings = ConsultSettings(verdict_timeout=VERDICT_TIMEOUT_S, lease=LEASE_S, max_streams=max_streams)
         listen = Listen("p", ListenProtocol.EXTERNAL_PROCESSING, Path("p.sock"), consult=settings)
-        context = ProxyListenerContext(runner, self.notified.append, log, lambda: True, 1.0, Descriptors(100))
+        context = ProxyListenerContext(
+            runner, self.notified.append, log, lambda: True, 1.0, Descriptors(100), ReceiveBuffers()
+        )
         mapping: Any = None  # unused: no request is mapped in these tests
         self.listener = Listener(listen, mapping, context)
 
--- /dev/null
+++ b/tests/frontends/test_incomplete_messages.py
@@ -0,0 +1,179 @@
+"""Hundreds of clients at once whose messages are large, slow, half sent or of many fields."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+
+from shelfhaven.config import Address
+from shelfhaven.lab.callers import Connection, connect, read_reply, variables
+from shelfhaven.protocol import uwsgi
+from shelfhaven.server.receive_buffers import MIN_RELEASED_BYTES, ReceiveBuffers, buffer_limit
+from tests.frontends.node_process import (
+    DEADLINE_S,
+    MEMORY_LIMIT_MB,
+    NodeUnderTest,
+    WellBehavedClients,
+    running_process,
+)
+from tests.peers import run_async
+
+CLIENTS = 400
+OBSERVED_S = 1.2  # less than the time after which an incomplete message is answered
+BLOCK_LIMIT = 16 * 1024
+HEAD_LIMIT = 32 * 1024
+FIELD_LIMIT = 512
+
+
+def uwsgi_head(size: int, body_length: int) -> bytes:
+    """Return the head of a request whose block has many variables of three letters and no value."""
+    block = b""
+    for name, value in (
+        (b"REQUEST_METHOD", b"POST"),
+        (b"PATH_INFO", b"/topup"),
+        (b"CONTENT_LENGTH", b"%d" % body_length),
+    ):
+        block += struct.pack("<H", len(name)) + name + struct.pack("<H", len(value)) + value
+    number = 0
+    while len(block) < size - 7:
+        block += struct.pack("<H", 3) + b"%03x" % number + struct.pack("<H", 0)
+        number += 1
+    return struct.pack("<BHB", 0, len(block), 0) + block
+
+
+def http_head(fields: int, end: bytes, more: bytes = b"") -> bytes:
+    """Return the head of a subrequest with many short fields."""
+    lines = b"".join(b"%x:\r\n" % number for number in range(fields))
+    return (b"GET /balance/1 HTTP/1.1\r\n" + more + lines)[: HEAD_LIMIT - 4] + end
+
+
+@dataclass(frozen=True)
+class Picture:
+    """What each of the clients sends; `address`: to which listener."""
+
+    address: Callable[[NodeUnderTest], Address]
+    sent: bytes
+    uwsgi: str = ""
+
+
+PICTURES = {
+    "uwsgi, many variables, half a body": Picture(
+        lambda node: node.gateways, uwsgi_head(BLOCK_LIMIT, 65536) + b"x" * 60000
+    ),
+    "uwsgi, variables at the limit, half a body": Picture(
+        lambda node: node.gateways, uwsgi_head(7 * FIELD_LIMIT, 65536) + b"x" * 60000
+    ),
+    "uwsgi, half of a body of a megabyte": Picture(
+        lambda node: node.gateways, uwsgi_head(200, 1_000_000) + b"x" * 500_000, uwsgi='body-most="1MB"'
+    ),
+    "jsonrpc, half a message": Picture(
+        lambda node: node.routers, b"Content-Length: 16000\r\n\r\n" + b"x" * 15000
+    ),
+    "subrequest, many fields": Picture(lambda node: node.subrequests, http_head(5000, b"\r\n\r\n")),
+    "subrequest, many fields, half a body": Picture(
+        lambda node: node.subrequests,
+        http_head(5000, b"\r\n\r\n", b"Content-Length: 60000\r\n") + b"x" * 9000,
+    ),
+    "subrequest, fields at the limit": Picture(
+        lambda node: node.subrequests, http_head(FIELD_LIMIT - 1, b"\r\n")
+    ),
+    "subrequest, half a head": Picture(lambda node: node.subrequests, http_head(5000, b"")),
+}
+
+
+async def send(node: NodeUnderTest, picture: Picture) -> Connection:
+    connection = await connect(picture.address(node))
+    connection.writer.write(picture.sent)
+    return connection
+
+
+@pytest.mark.parametrize("picture", PICTURES.values(), ids=PICTURES)
+def test_hundreds_of_incomplete_or_many_field_messages_stay_within_the_memory(picture: Picture) -> None:
+    # guards against a process that is killed for its memory (incident memory-of-incomplete-messages)
+    async def check() -> None:
+        async with running_process(uwsgi=picture.uwsgi) as node:
+            clients = WellBehavedClients(node)
+            sending = asyncio.gather(*(send(node, picture) for _ in range(CLIENTS)))
+            observing = asyncio.gather(node.peak_memory_mb(OBSERVED_S), clients.run(OBSERVED_S))
+            connections = await sending
+            peak_memory_mb, _ = await observing
+            assert peak_memory_mb < MEMORY_LIMIT_MB
+            for report in clients.reports.values():
+                assert report.slowest < DEADLINE_S
+                assert report.answers["served"] > 0
+                assert not report.answers["none"]
+            for connection in connections:
+                connection.writer.close()
+
+    run_async(check)
+
+
+def test_sound_requests_near_each_limit_are_served() -> None:
+    async def check() -> None:
+        async with running_process() as node:
+            reader, writer = await connect(node.subrequests)
+            for filler in (b"X-Filler: %b\r\n" % (b"x" * 31_000), http_head(500, b"")[25:]):
+                writer.write(b"GET /balance/1 HTTP/1.1\r\nHost: x\r\n" + filler + b"\r\n")
+                assert (await read_reply(reader)).status == 200
+            writer.close()
+            reader, writer = await connect(node.gateways)
+            body = b"b" * 65536
+            for more in ({"X": "y" * 15_000}, {f"N{number}": "" for number in range(490)}):
+                headers = variables("POST", "/topup", HTTP_IDEMPOTENCY_KEY=f"k{len(more)}", **more)
+                writer.write(uwsgi.encode(headers, body))
+                reply = await read_reply(reader)
+                assert (reply.status, reply.body) == (200, b"made for " + body)
+            writer.close()
+
+    run_async(check)
+
+
+def test_a_slow_sound_body_is_served_beside_clients_that_stopped_half_way() -> None:
+    async def check() -> None:
+        async with running_process(uwsgi='body-most="1MB" within="4s"') as node:
+            picture = Picture(lambda node: node.gateways, uwsgi_head(200, 1_000_000) + b"x" * 500_000)
+            stalled = await asyncio.gather(*(send(node, picture) for _ in range(100)))
+            reader, writer = await connect(node.gateways)
+            packet = uwsgi.encode(
+                variables("POST", "/topup", HTTP_IDEMPOTENCY_KEY="slow"), body=b"b" * 200_000
+            )
+            for start in range(0, len(packet), 20_000):
+                writer.write(packet[start : start + 20_000])
+                await asyncio.sleep(0.02)
+            assert (await read_reply(reader)).status == 200
+            replies = await asyncio.gather(*(read_reply(connection.reader) for connection in stalled))
+            assert {reply.status for reply in replies} == {408, 503}
+            assert all(reply.not_run for reply in replies)
+            assert all("retry-after" in reply.fields for reply in replies if reply.status == 503)
+
+    run_async(check)
+
+
+class Waiting:
+    """A connection whose message began at a time."""
+
+    def __init__(self, message_awaited_since: float) -> None:
+        self.message_awaited_since = message_awaited_since
+
+
+def test_the_oldest_large_message_goes_first() -> None:
+    buffers: ReceiveBuffers[Waiting] = ReceiveBuffers(2 * MIN_RELEASED_BYTES)
+    small, old, young = Waiting(0.0), Waiting(1.0), Waiting(2.0)
+    buffers.update(small, MIN_RELEASED_BYTES - 1)
+    buffers.update(old, MIN_RELEASED_BYTES)
+    assert buffers.connection_to_close() is None
+    buffers.update(young, MIN_RELEASED_BYTES)
+    assert buffers.connection_to_close() is old
+    buffers.update(old, 0)
+    assert buffers.connection_to_close() is None
+    buffers.update(young, 0)
+    buffers.update(small, 0)
+    assert buffers.total == 0
+
+
+def test_the_limit_is_a_part_of_the_memory_limit() -> None:
+    assert buffer_limit(192) == 12 * 1024 * 1024
