Incomplete messages: the slowest goes first; a turn has four reads

The test of a slow sound body beside stalled ones failed in one of two runs of the suite: clients that had just connected and stopped half way were younger than the sound message, which as the oldest was closed. Cause traced to the order, not the test: age says nothing of progress. The message with the lowest rate since its first byte goes first now; the rate of a stopped one falls with time.

--- a/shelfhaven/frontends/connection.py
+++ b/shelfhaven/frontends/connection.py
@@ -166,7 +166,7 @@
         """Record what is kept of an incomplete message; if all connections keep too much, close some."""
         buffers = self.receive_buffers
         buffers.update(self, self.buffered_bytes)
-        while (connection := buffers.connection_to_close()) is not None:
+        while (connection := buffers.connection_to_close(time.monotonic())) is not None:
             status = HTTPStatus.SERVICE_UNAVAILABLE
             connection.fail_unreadable(UnreadableStreamError("too many incomplete messages here", status))
             buffers.update(connection, 0)
--- a/shelfhaven/frontends/message_connection.py
+++ b/shelfhaven/frontends/message_connection.py
@@ -22,6 +22,7 @@
 from shelfhaven.server.mailbox import Mailbox
 from shelfhaven.server.message_allowance import MessageAllowance
 
+READS_PER_TURN = 4  # of data that is there already, before the event loop serves other connections
 HALF_CLOSED_POLL_S = 0.05  # between checks whether a peer that ended its stream has closed the connection
 
 NotifyCore: TypeAlias = Callable[
@@ -45,6 +46,7 @@
         self.notify_core = notify_core
         self.mailbox: Mailbox[messages.Answer] = Mailbox(self._queue_answer, log, self._flush)
         self.answer_ready = asyncio.Event()  # there are answers to send to a half-closed peer
+        self.reads_in_turn = 0  # reads of data that was there, since the event loop last served others
         self.message_allowance = MessageAllowance(time.monotonic())
 
     @abstractmethod
@@ -79,13 +81,15 @@
         await self._prepare_close()
 
     async def _read(self) -> bytes:
-        """Read what has been received; let the event loop serve the other connections first.
+        """Read what has been received; after some reads, let the event loop serve the other connections first.
 
         A read of data that is there already does not suspend the task: without this, a peer that sends as
         fast as its data is handled would keep the event loop to itself.
         """
         reading = asyncio.ensure_future(self.stream.read_bytes(READ_CHUNK_BYTES, partial=True))
-        if reading.done():
+        self.reads_in_turn = self.reads_in_turn + 1 if reading.done() else 0
+        if self.reads_in_turn == READS_PER_TURN:
+            self.reads_in_turn = 0
             await asyncio.sleep(0)
         try:
             return await reading
