Proxies: shed what exceeds a connection's fair quota, not everybody alike

What callers saw: beside one proxy that sent consultations or health checks at full speed on one connection, the consultations of all others were rejected unread, on every listener for proxies.

Cause: the shedder goes by the CPU time of the process and shed new streams evenly, whoever caused the load; each listener had its own. Evidence: beside floods of 404s, health checks and consultations the others' rejections are "not looked at", and the shed fraction is at its limit of 0.95 while the others send 45 a second.

Header fields by stream are limited to 512: joining 60,000 held the event loop for up to 0.2 s.

Other side: connections with equal loads are shed equally and evenly, one that begins to flood before the next update.

Open, seen in trials: streams cancelled at once by the ten thousand delay the verdicts of that listener; 300 messages of a megabyte at once take 317 MB.

--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -47,7 +47,7 @@
         notify_core: sends a message to the core.
         log: the server's log.
         is_healthy: tells whether health checks are answered with success.
-        cores: number of CPU cores that this server may use.
+        load_shedder: sheds consultations of all listeners while the process lacks CPU time.
         descriptors: the file descriptors of this server.
         receive_buffers: counts the incomplete messages of all connections.
     """
@@ -56,7 +56,7 @@
     notify_core: NotifyCore
     log: Log
     is_healthy: Callable[[], bool]
-    cores: float
+    load_shedder: stream_admission.LoadShedder
     descriptors: Descriptors
     receive_buffers: ReceiveBuffers[Connection]
 
@@ -85,7 +85,7 @@
         self.settings = listen.consult
         self.streams = stream_admission.StreamLimits(self.settings)
         self.loop_lag = stream_admission.LoopLag(MEASUREMENT_INTERVAL_S, LAG_RETENTION_S)
-        self.load_shedder = stream_admission.LoadShedder(context.cores)
+        self.load_shedder = context.load_shedder
         self.answer_counts: Counter[AnswerCountKey] = Counter()
         self.load_timer: asyncio.TimerHandle | None = None
         self.draining = False
@@ -110,9 +110,12 @@
     async def end(self, time_left: float) -> None:
         """Close all open connections and streams within `time_left` seconds."""
 
-    def admit(self) -> bool:
-        """Admit and count one more consultation, unless the server is at its limit or overloaded."""
-        return self.streams.admit(self.loop_lag.mean_lag, self.load_shedder.sheds_next())
+    def admit(self, connection: str) -> bool:
+        """Admit and count one more consultation, unless the server is at its limit or overloaded.
+
+        `connection` identifies the connection that it came by.
+        """
+        return self.streams.admit(self.loop_lag.mean_lag, self.load_shedder.sheds_next(connection))
 
     def open_requests(self) -> int:
         """Return the number of open consultations."""
--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -44,6 +44,7 @@
 NOT_SERVING = b"\x08\x02"
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_METADATA_BYTES = 32 * 1024
+MAX_HEADER_FIELDS = 512  # of a request or response; joining thousands takes long
 ANNOUNCEMENT_TIME_S = 0.01  # after which the end is announced on each connection, before what is sent later
 ANNOUNCEMENT_CHECK_INTERVAL_S = 0.005
 CLOSING_FRACTION = 0.15  # of the time left to the server, reserved for closing streams that are still open
@@ -128,6 +129,9 @@
         if self.headers_received:
             raise UnexpectedMessageError("request headers a second time")
         self.headers_received = True
+        if len(headers.headers.headers) > MAX_HEADER_FIELDS:
+            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            return self.consultation.mapping_failed(status, f"over {MAX_HEADER_FIELDS} header fields")
         try:
             self._map_request(extproc_messages.cgi_variables(headers.headers))
         except MappingError as error:
@@ -137,6 +141,8 @@
     def _process_response_headers(
         self, now: float, headers: extproc_pb2.HttpHeaders
     ) -> list[processor_policy.Action]:
+        if len(headers.headers.headers) > MAX_HEADER_FIELDS:
+            raise UnexpectedMessageError(f"over {MAX_HEADER_FIELDS} header fields")
         variables = extproc_messages.cgi_variables(headers.headers)
         status = extproc_messages.response_status(headers.headers)
         not_run = variables.get("HTTP_X_NOT_RUN") == "1"
@@ -324,7 +330,7 @@
         self.unadmitted += 1
         try:
             await self._wait_for_announcement(started_at)
-            is_admitted = self.admit()
+            is_admitted = self.admit(context.peer())
             if not is_admitted:
                 await self._reject(context, started_at)
         finally:
--- a/shelfhaven/frontends/message_connection.py
+++ b/shelfhaven/frontends/message_connection.py
@@ -81,7 +81,7 @@
         await self._prepare_close()
 
     async def _read(self) -> bytes:
-        """Read what has been received; after some reads, let the event loop serve the other connections first.
+        """Read what has been received; after some reads, the event loop serves other connections first.
 
         A read of data that is there already does not suspend the task: without this, a peer that sends as
         fast as its data is handled would keep the event loop to itself.
--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from http import HTTPStatus
 
@@ -121,13 +122,16 @@
             listen.max_connections,
             context.receive_buffers,
         )
+        self.connection_numbers = itertools.count(1)
         self.stopped = False  # whether it no longer listens; what was sent before gets a rejection
 
     def _make_connection(self, stream: DetachableStream, peer: str) -> SubrequestConnection:
+        name = f"{peer} {next(self.connection_numbers)}"
+
         async def handle(request: HTTPServerRequest) -> None:
             """Serve one request of this peer."""
             request.remote_ip = peer
-            await self._serve(request)
+            await self._serve(request, name)
 
         return SubrequestConnection(stream, self.listen, self._is_field_used, handle, self.log)
 
@@ -166,7 +170,7 @@
         self._stop_load_measurement()
         await self.listener.close_connections(time_left)
 
-    async def _serve(self, request: HTTPServerRequest) -> None:
+    async def _serve(self, request: HTTPServerRequest, connection: str) -> None:
         if request.path == self.listen.health_path:
             status = HTTPStatus.OK if self.is_healthy() else HTTPStatus.SERVICE_UNAVAILABLE
             self._respond(request, status, HTTPHeaders(), b"")
@@ -174,7 +178,7 @@
         if self.stopped:
             self._reject_unread(request, {"X-Not-Run": "1"})
             return
-        if not self.admit():
+        if not self.admit(connection):
             self._reject_unread(request, {})
             return
         subrequest = Subrequest(self, request.remote_ip or "", request)
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -152,12 +152,14 @@
         self, core: Core, descriptors: Descriptors, receive_buffers: ReceiveBuffers[Connection], log: Log
     ) -> None:
         from shelfhaven.backends.proxy import ProxyRunner
+        from shelfhaven.routing.stream_admission import LoadShedder
 
         self.core = core
         self.descriptors = descriptors
         self.receive_buffers = receive_buffers
         self.log = log
         self.runner: ProxyRunner = ProxyRunner(core.config.settings.cores, core.put, log)
+        self.load_shedder = LoadShedder(core.config.limits.cores)
         self.proxy_listeners: list[ProxyListener] = []
 
     def add_listener(self, listen: Listen, mapping: RequestMapping) -> None:
@@ -170,7 +172,7 @@
             notify_core=self.core.put,
             log=self.log,
             is_healthy=self._is_healthy,
-            cores=self.core.config.limits.cores,
+            load_shedder=self.load_shedder,
             descriptors=self.descriptors,
             receive_buffers=self.receive_buffers,
         )
--- a/tests/frontends/node_process.py
+++ b/tests/frontends/node_process.py
@@ -15,13 +15,16 @@
 
 from shelfhaven.config import Address
 from shelfhaven.lab.backend_stub import BackendStub, ExecutedRun
-from shelfhaven.lab.callers import Router, ask, connect, read_reply
+from shelfhaven.lab.callers import STEP_TIMEOUT_S, Router, ask, connect, read_reply
 from shelfhaven.lab.flood_client import FloodKind
 from shelfhaven.lab.node import NodeProcess, run_node
 from shelfhaven.lab.ports import reserved_address
+from shelfhaven.lab.proxy import ProxyStub
+from shelfhaven.lab.stream_flood_client import StreamFloodKind
 
 MEMORY_LIMIT_MB = 96  # of the node under test
 DEADLINE_S = 1.5  # of the class "balance"
+VERDICT_TIMEOUT_S = 0.3  # of the listeners for proxies
 PAUSE_S = 0.02  # of a well-behaved client between its requests
 MEMORY_CHECK_INTERVAL_S = 0.05
 KB_PER_MB = 1024
@@ -104,11 +107,24 @@
     )
     try:
         async with run_node(text, addresses["routers"]) as process:
+            for address in addresses.values():
+                await _accepted(address)
             yield NodeUnderTest(process, backend, **addresses, runs=runs)
     finally:
         backend.stop()
 
 
+async def _accepted(address: Address) -> None:
+    """Wait until a listener accepts connections."""
+    async with asyncio.timeout(STEP_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(ConnectionRefusedError):
+                _, writer = await connect(address)
+                writer.close()
+                return
+            await asyncio.sleep(PAUSE_S)
+
+
 @dataclass
 class ClientReport:
     """What a well-behaved client saw.
@@ -123,12 +139,15 @@
 
 
 class WellBehavedClients:
-    """One client of each plain protocol, which asks again and again on new connections.
+    """One client of each protocol, which asks again and again, on new connections where it is not gRPC.
 
     Attributes:
         reports: by protocol.
+        proxy: the client that asks by gRPC streams.
     """
 
+    proxy: ProxyStub
+
     def __init__(self, node: NodeUnderTest) -> None:
         self.node = node
         self.reports: dict[str, ClientReport] = {}
@@ -139,9 +158,12 @@
             "jsonrpc": self._ask_as_router,
             "uwsgi": self._ask_as_gateway,
             "subrequest": self._ask_as_proxy,
+            "extproc": self._ask_by_stream,
         }
+        self.proxy = ProxyStub(self.node.streams.port, [], verdict_timeout=2 * DEADLINE_S)
         ends_at = time.monotonic() + seconds
         await asyncio.gather(*(self._ask_until(ends_at, name, asking) for name, asking in asks.items()))
+        await self.proxy.close()
 
     async def _ask_until(self, ends_at: float, name: str, asking: Callable[[], Awaitable[str]]) -> None:
         report = self.reports[name] = ClientReport()
@@ -177,14 +199,21 @@
         finally:
             writer.close()
 
+    async def _ask_by_stream(self) -> str:
+        exchange = await self.proxy.ask("GET", "/balance/1")
+        if exchange.forwarded:
+            return "served"
+        return f"status {exchange.reply.status}" if exchange.reply else "none"
+
 
 @contextlib.asynccontextmanager
 async def flooding(
-    address: Address, kind: FloodKind, seconds: float, reads_answers: bool
+    address: Address, kind: FloodKind | StreamFloodKind, seconds: float, reads_answers: bool = True
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     """Run a client that floods a listener, in a process of its own, within a context."""
+    module = "flood_client" if isinstance(kind, FloodKind) else "stream_flood_client"
     options = [] if reads_answers else ["unread"]
-    arguments: list[Any] = ["-m", "shelfhaven.lab.flood_client", address.port, kind.value, seconds, *options]
+    arguments: list[Any] = ["-m", f"shelfhaven.lab.{module}", address.port, kind.value, seconds, *options]
     process = await asyncio.create_subprocess_exec(sys.executable, *map(str, arguments))
     try:
         yield process
--- a/tests/frontends/test_consulting.py
+++ b/tests/frontends/test_consulting.py
@@ -20,6 +20,7 @@
 from shelfhaven.operator_config import Listen, ListenProtocol
 from shelfhaven.routing import processor_policy
 from shelfhaven.routing.processor_policy import ConsultationStage, ConsultSettings
+from shelfhaven.routing.stream_admission import LoadShedder
 from shelfhaven.server import messages
 from shelfhaven.server.descriptors import Descriptors
 from shelfhaven.server.receive_buffers import ReceiveBuffers
@@ -69,7 +70,13 @@
         settings = ConsultSettings(verdict_timeout=VERDICT_TIMEOUT_S, lease=LEASE_S, max_streams=max_streams)
         listen = Listen("p", ListenProtocol.EXTERNAL_PROCESSING, Path("p.sock"), consult=settings)
         context = ProxyListenerContext(
-            runner, self.notified.append, log, lambda: True, 1.0, Descriptors(100), ReceiveBuffers()
+            runner,
+            self.notified.append,
+            log,
+            lambda: True,
+            LoadShedder(1.0),
+            Descriptors(100),
+            ReceiveBuffers(),
         )
         mapping: Any = None  # unused: no request is mapped in these tests
         self.listener = Listener(listen, mapping, context)
@@ -149,7 +156,7 @@
     max_streams: int,
 ) -> None:
     listener = Harness(max_streams).listener
-    admitted = sum(listener.admit() for _ in range(4))
+    admitted = sum(listener.admit("connection") for _ in range(4))
     assert admitted == listener.open_requests() == max_streams
     listener.answer_counts[AnswerCountKey(1, "refused")] += 2
     load = listener.load_now()
--- a/tests/frontends/test_floods.py
+++ b/tests/frontends/test_floods.py
@@ -8,10 +8,12 @@
 
 from shelfhaven.lab.callers import Router, connect
 from shelfhaven.lab.flood_client import FloodKind
+from shelfhaven.lab.stream_flood_client import StreamFloodKind
 from shelfhaven.server.message_allowance import BURST_MESSAGES, MESSAGES_PER_SECOND, MessageAllowance
 from tests.frontends.node_process import (
     DEADLINE_S,
     MEMORY_LIMIT_MB,
+    VERDICT_TIMEOUT_S,
     WellBehavedClients,
     flooding,
     running_process,
@@ -19,6 +21,7 @@
 from tests.peers import run_async
 
 FLOOD_S = 2.0
+FLOOD_STARTUP_S = 1.0  # until a client that imports gRPC floods
 ROUTER_FLOODS = [
     FloodKind.UNKNOWN_METHODS,
     FloodKind.HEALTH_CHECKS,
@@ -48,6 +51,35 @@
     run_async(check)
 
 
+PROXY_FLOODS = [
+    FloodKind.UNMAPPED_SUBREQUESTS,
+    FloodKind.HEALTH_SUBREQUESTS,
+    StreamFloodKind.REQUESTS,
+    StreamFloodKind.UNMAPPED_REQUESTS,
+    StreamFloodKind.MANY_FIELDS,
+]
+
+
+@pytest.mark.parametrize("kind", PROXY_FLOODS)
+def test_a_proxy_that_floods_a_connection_costs_no_other_client_its_verdicts(
+    kind: FloodKind | StreamFloodKind,
+) -> None:
+    # guards against shedding others for what one connection costs (incident flood-on-one-connection)
+    async def check() -> None:
+        async with running_process(at_once=200) as node:
+            clients = WellBehavedClients(node)
+            address = node.subrequests if isinstance(kind, FloodKind) else node.streams
+            async with flooding(address, kind, FLOOD_S + FLOOD_STARTUP_S):
+                await asyncio.sleep(FLOOD_STARTUP_S)
+                await clients.run(FLOOD_S)
+            for report in clients.reports.values():
+                assert report.slowest < VERDICT_TIMEOUT_S
+                assert report.answers["served"] > 0.9 * report.answers.total()
+                assert not report.answers["none"]
+
+    run_async(check)
+
+
 def test_a_router_within_the_protocol_is_not_held_back() -> None:
     async def check() -> None:
         async with running_process(at_once=64) as node:
--- a/tests/routing/test_stream_admission.py
+++ b/tests/routing/test_stream_admission.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import math
+from collections import Counter
+
 import pytest
 
 from shelfhaven.routing.processor_policy import ConsultSettings
-from shelfhaven.routing.stream_admission import LoadShedder, LoopLag, StreamLimits
+from shelfhaven.routing.stream_admission import (
+    MAX_SHED_FRACTION,
+    TARGET_UTILIZATION,
+    LoadShedder,
+    LoopLag,
+    StreamLimits,
+    fair_quota,
+)
 
 
 def test_streams_and_bytes_beyond_the_limits_are_rejected() -> None:
@@ -52,7 +62,7 @@
         now += 0.1
         cpu_seconds += 0.1
     assert 0.2 < shedder.shed_fraction <= 0.95
-    shed_count = sum(shedder.sheds_next() for _ in range(100))
+    shed_count = sum(shedder.sheds_next("connection") for _ in range(100))
     assert shed_count == pytest.approx(100 * shedder.shed_fraction, abs=1)
     for _ in range(40):
         shedder.update(now, cpu_seconds)
@@ -61,6 +71,58 @@
     assert shedder.shed_fraction == 0.0
 
 
+def shedder_with(shed_fraction: float, arrivals: dict[str, int]) -> LoadShedder:
+    """Return a shedder with this fraction, at the end of an interval with these arrivals."""
+    shedder = LoadShedder(1.0)
+    shedder.update(10.0, 0.0)
+    shedder.shed_fraction = shed_fraction
+    for connection, count in arrivals.items():
+        for _ in range(count):
+            shedder.sheds_next(connection)
+    shedder.update(10.2, TARGET_UTILIZATION * 0.2)
+    return shedder
+
+
+def test_a_connection_that_floods_is_shed_and_the_others_are_not() -> None:
+    shedder = shedder_with(0.9, {"flood": 400, "one": 4, "two": 4})
+    shed: Counter[str] = Counter()
+    for number in range(400):
+        shed["flood"] += shedder.sheds_next("flood")
+        if number % 100 == 0:
+            shed["one"] += shedder.sheds_next("one")
+            shed["two"] += shedder.sheds_next("two")
+            shed["new"] += shedder.sheds_next(f"new {number}")
+    assert shed["one"] == shed["two"] == shed["new"] == 0
+    assert shed["flood"] == pytest.approx(0.9 * 408, abs=2)
+
+
+@pytest.mark.parametrize("connections", [1, 7])
+def test_connections_with_equal_loads_are_shed_equally_and_evenly(connections: int) -> None:
+    names = [f"connection {number}" for number in range(connections)]
+    shedder = shedder_with(0.5, dict.fromkeys(names, 100))
+    shed = [shedder.sheds_next(name) for _ in range(100) for name in names]
+    assert sum(shed) == pytest.approx(50 * connections, abs=1)
+    assert all(abs(sum(shed[:count]) - count / 2) <= 1 for count in range(len(shed)))
+
+
+def test_a_connection_that_begins_to_flood_is_shed_before_the_next_update() -> None:
+    shedder = shedder_with(0.8, {"a": 50, "b": 10})
+    shed = sum(shedder.sheds_next("b") for _ in range(1000))
+    assert shed > 0.75 * 1000
+
+
+def test_few_streams_are_not_shed_whatever_takes_the_cpu_time() -> None:
+    shedder = shedder_with(MAX_SHED_FRACTION, {f"connection {number}": 1 for number in range(9)})
+    assert not any(shedder.sheds_next(f"later connection {number}") for number in range(9))
+
+
+def test_the_fair_quota_fills_the_small_counts_first() -> None:
+    assert fair_quota([4, 4, 400], 40) == pytest.approx(32)
+    assert fair_quota([10, 10], 10) == 5
+    assert fair_quota([1, 2, 3], 6) == math.inf
+    assert fair_quota([], 0) == 0.0
+
+
 def test_withdrawn_requests_count_as_overload_whatever_the_cpu_utilization() -> None:
     shedder = LoadShedder(1.0)
     shedder.update(10.0, 0.0)
