Requests that are unread when their client leaves are not sent on

What operators saw: a client closed its connection with requests still unread, and they were run afterwards; a subrequest kept its place for the whole lease.

Cause: a socket delivers what came before the end of a connection first, also after a reset; requests were handed to the core as they were read, and the end was noticed by the last read only. Evidence: with the process stopped while the client writes and leaves, the backend's log has all runs after the client had left.

Change: before requests are handed on, one poll tells whether the peer is there. After a reset what is unread is dropped. A router that has ended its stream is sent the notice that it may get at any time: a reset in return says that it has left, else it is served. For a gateway the end of the stream is its cancellation, as before.

Tests failed before: eight of test_clients_that_leave.py, e.g. assert not [ExecutedRun(... path='/topup', key='00..01' ...), ...] assert 1 <= 0 (subrequests in the core after a reset) Since: 59 passed. Other side: a router that ends its sending side only gets all its answers (1 and 20 requests); keys whose client left run once and are answered when they come again, over both protocols, at once and later, queued and running. No key ran twice before either.

--- a/shelfhaven/frontends/message_connection.py
+++ b/shelfhaven/frontends/message_connection.py
@@ -16,6 +16,7 @@
 from typing import TypeAlias
 
 from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
+from shelfhaven.frontends.peer_presence import PeerPresence, peer_presence
 from shelfhaven.frontends.stream import READ_CHUNK_BYTES, DetachableStream
 from shelfhaven.server import messages
 from shelfhaven.server.log import Log
@@ -46,6 +47,7 @@
         self.notify_core = notify_core
         self.mailbox: Mailbox[messages.Answer] = Mailbox(self._queue_answer, log, self._flush)
         self.answer_ready = asyncio.Event()  # there are answers to send to a half-closed peer
+        self.probed = False  # whether a peer that had ended its stream was sent the probe
         self.reads_in_turn = 0  # reads of data that was there, since the event loop last served others
         self.message_allowance = MessageAllowance(time.monotonic())
 
@@ -70,12 +72,16 @@
     async def _serve(self) -> None:
         """Read messages until the stream ends or cannot be read; then send outstanding answers."""
         while self.state is ConnectionState.OPEN:
-            has_more = self._handle_data(await self._read())
+            data = await self._read()
+            has_more = True
             while has_more:
+                if await self._has_peer_left():
+                    return  # what it has sent is of no use
+                has_more = self._handle_data(data)
+                data = b""
                 await self._hold_back()
-                await asyncio.sleep(0)  # ends the turn: the event loop serves the other connections
-                has_more = self._handle_data(b"")
-            await self._hold_back()
+                if has_more:
+                    await asyncio.sleep(0)  # ends the turn: the event loop serves the other connections
         await self.output_finished.wait()
         await self.stream.write(b"")  # waits until pending bytes have been sent
         await self._prepare_close()
@@ -96,14 +102,35 @@
         finally:
             del reading  # its exception refers to this frame, which would keep the connection alive
 
+    async def _has_peer_left(self) -> bool:
+        """Whether the peer has closed the connection, though data that it sent before is still unread.
+
+        A peer that has ended its stream may still wait for answers where the protocol has a probe.
+        """
+        presence = self._peer_presence()
+        if presence is not PeerPresence.HALF_CLOSED:
+            return presence is PeerPresence.GONE
+        if not self.liveness_probe:
+            return True
+        if not self.probed and not self.stream.closed():
+            self.probed = True
+            self.stream.write(self.liveness_probe)
+            await asyncio.sleep(HALF_CLOSED_POLL_S)
+        return self._peer_presence() is PeerPresence.GONE
+
+    def _peer_presence(self) -> PeerPresence:
+        sock = self.stream.detached_socket or self.stream.socket
+        return peer_presence(sock) if sock else PeerPresence.GONE
+
     async def _hold_back(self) -> None:
         """Stop reading until the peer has read its answers, and while it sends too much that is of no use."""
         delay = self.message_allowance.delay(time.monotonic())
         if not delay and not self.stream.writing():
             return
         self.held_back = True
-        if delay:
-            await asyncio.sleep(delay)
+        while delay and not self.stream.closed() and not await self._has_peer_left():
+            await asyncio.sleep(min(delay, HALF_CLOSED_POLL_S))
+            delay = self.message_allowance.delay(time.monotonic())
         if self.stream.writing():
             await self.stream.write(b"")
         self.held_back = False
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -25,6 +25,7 @@
 
 from shelfhaven.backends.failure_boundary import FailureBoundary
 from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
+from shelfhaven.frontends.peer_presence import PeerPresence, peer_presence
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.operator_config import Listen
 from shelfhaven.protocol import http
@@ -112,6 +113,9 @@
                 await asyncio.wait([self.task])
 
     def _begin_request(self, request: HTTPServerRequest) -> None:
+        if self.stream.closed() or peer_presence(self.stream.socket) is PeerPresence.GONE:
+            self.stream.close()  # the proxy has left: what it sent before is of no use
+            return
         self._record_message()
         self._record_buffered_bytes()
         self.request_ref += 1
