--- a/tests/frontends/test_clients_that_leave.py
+++ b/tests/frontends/test_clients_that_leave.py
@@ -174,9 +174,6 @@
     "jsonrpc": topup_as_router,
     "uwsgi": topup_as_gateway,
 }
-    "jsonrpc": topup_as_router,
-    "uwsgi": topup_as_gateway,
-}
 
 
 @pytest.mark.parametrize("again_after_s", [0.0, 1.0], ids=["at once", "later"])
