An attempt that must run once does not run again when it comes again later

What callers saw: a request of a class with repeat="once", sent again with its id after its client had left (or after its connection had ended), ran a second time if the first run was over by then.

Cause: while an attempt is in the request table its id is found there ("in hand already"); after its run nobody knew it. Keyed classes are found by their key.

Tests failed before: test_an_attempt_that_has_run_does_not_run_again_unless_its_class_is_idempotent test_an_attempt_whose_client_left_while_it_ran_does_not_run_again KeyError: 'error' (the second one was served by a second run) Other side: an attempt whose client left while it waited runs when it comes again, and classes that are safe to repeat run again.

--- a/shelfhaven/server/event_translation.py
+++ b/shelfhaven/server/event_translation.py
@@ -94,6 +94,11 @@
                 submission.frontend, submission.request_ref, "this try is in hand already"
             )
             return
+        if self.completion.run_history.has_run(submission.attempt_id, self.clocks.monotonic()):
+            self.answer_sender.fail_unregistered(
+                submission.frontend, submission.request_ref, "this try has run already"
+            )
+            return
         request_id = self.next_request_id()
         class_settings = self.config.settings.classes[submission.class_index]
         request = Request(request_id, submission, class_settings)
--- a/shelfhaven/server/request_completion.py
+++ b/shelfhaven/server/request_completion.py
@@ -26,6 +26,7 @@
     WorkState,
 )
 from shelfhaven.server.request_table import RequestTable
+from shelfhaven.server.run_history import RunHistory
 
 GIVEN_UP_TEXT = "given up"
 
@@ -48,6 +49,7 @@
         self.actors = actors
         self.clocks = clocks
         self.emit = emit
+        self.run_history = RunHistory()
 
     def complete_run(self, request: Request, completion: messages.RunCompleted) -> None:
         """Record the outcome of a run, if its key is in the key store, and answer its request."""
@@ -125,6 +127,7 @@
     def _finish_work(self, request: Request, result: bytes | None) -> None:
         """Finish the work of a request and answer the duplicates that wait for its result."""
         duplicate_ids = request.finish_work()
+        self.run_history.record(request, self.clocks.now)
         if result is not None:
             self.keys.store_result(request, result)
         for duplicate_id in duplicate_ids:
--- a/tests/frontends/test_clients_that_leave.py
+++ b/tests/frontends/test_clients_that_leave.py
@@ -15,10 +15,11 @@
 import pytest
 
 from shelfhaven.config import Address
-from shelfhaven.lab.callers import Router, ask, connect, until, variables
+from shelfhaven.lab.callers import Message, Router, ask, connect, until, variables
 from shelfhaven.lab.proxy import ProxyStub
-from shelfhaven.protocol import uwsgi
+from shelfhaven.protocol import jsonrpc, uwsgi
 from tests.frontends.node_process import NodeUnderTest, running_process
+from tests.frontends.nodes import FrontendNode, running_node
 from tests.frontends.test_subrequest import running_subrequest_node
 from tests.peers import run_async
 
@@ -146,6 +147,68 @@
     run_async(check)
 
 
+# Attempts that come again
+
+
+async def send_order(node: FrontendNode, class_name: str = "order", attempt: int = 7) -> Message:
+    """Send an attempt on a new connection, and leave with its answer."""
+    router = await node.connect_router()
+    router.request(1, class_name, call=f"{attempt:016x}", org="retail", body=base64.b64encode(BODY).decode())
+    try:
+        return await router.answer(1)
+    finally:
+        await router.close()
+
+
+def test_an_attempt_that_has_run_does_not_run_again_unless_its_class_is_idempotent() -> None:
+    # guards against a second run of an attempt that comes again (incident requests-of-a-client-that-left)
+    async def check() -> None:
+        async with running_node() as node:
+            assert "result" in await send_order(node)
+            assert (await send_order(node))["error"]["code"] == jsonrpc.FAILED
+            assert node.run_count(BODY) == 1
+            assert "result" in await send_order(node, "balance", attempt=8)
+            assert "result" in await send_order(node, "balance", attempt=8)
+            assert node.run_count(BODY) == 3
+
+    run_async(check)
+
+
+def test_an_attempt_whose_client_left_while_it_ran_does_not_run_again() -> None:
+    async def check() -> None:
+        async with running_node() as node:
+            node.backends[0].release.clear()
+            first = asyncio.ensure_future(send_order(node))
+            await until(lambda: node.runs)
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
+            await until(lambda: not any(listener.connections for listener in node.app.listeners))
+            node.backends[0].release.set()
+            await until(lambda: not node.app.core.requests)
+            assert (await send_order(node))["error"]["code"] == jsonrpc.FAILED
+            assert node.run_count(BODY) == 1
+
+    run_async(check)
+
+
+def test_an_attempt_whose_client_left_while_it_waited_runs_when_it_comes_again() -> None:
+    async def check() -> None:
+        async with running_node(at_once=1) as node:
+            node.backends[0].release.clear()
+            busy = asyncio.ensure_future(node.ask("GET", "/balance/1"))
+            await until(lambda: node.runs)
+            first = asyncio.ensure_future(send_order(node))
+            await until(lambda: len(node.app.core.requests) == 2)
+            first.cancel()
+            await until(lambda: len(node.app.core.requests) == 1)
+            node.backends[0].release.set()
+            assert (await busy).status == 200
+            assert "result" in await send_order(node)
+            assert node.run_count(BODY) == 1
+
+    run_async(check)
+
+
 # Keys that come again
 
 
