Core: forget a request after all actions of an event, so that its key is released

Cause: the controller rejects a request and then releases its key; the core forgot the request at the rejection and found none for the release. Evidence: after each rejection the table had one entry, after a cancellation none.

Change: requests are forgotten once all actions of an event are carried out.

--- a/shelfhaven/lab/stream_flood_client.py
+++ b/shelfhaven/lab/stream_flood_client.py
@@ -28,6 +28,7 @@
     REQUESTS = "requests"
     UNMAPPED_REQUESTS = "unmapped-requests"
     MANY_FIELDS = "many-fields"
+    CANCELLED_REQUESTS = "cancelled-requests"  # at once, without waiting for the verdict
 
 
 def _encoded(kind: StreamFloodKind, number: int) -> bytes:
@@ -46,6 +47,9 @@
         stream = proxy.process()
         with contextlib.suppress(grpc.aio.AioRpcError, asyncio.InvalidStateError):
             await stream.write(_encoded(kind, next(numbers)))
+            if kind is StreamFloodKind.CANCELLED_REQUESTS:
+                stream.cancel()
+                continue
             await stream.read()
             await stream.done_writing()
 
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -184,11 +184,13 @@
         """Pass pending events to the controller, one at a time, and execute its actions."""
         while self.pending_events:
             event = self.pending_events.popleft()
-            for action in self._actions_for(event):
+            actions = self._actions_for(event)
+            for action in actions:
                 try:
                     self._execute(action)
                 except Exception:
                     self.log.exception("action_failed", action=repr(action))
+            self._forget_done_requests(actions)
             if request := self._request_of(event):
                 self.completion.forget_if_done(request)
         self.keys.retain_withdrawn()
@@ -234,7 +236,17 @@
             case _:
                 if request := self.requests.get(action.request_id):
                     self.executor.execute(request, action)
-                    self.requests.forget_if_done(request)
+
+    def _forget_done_requests(self, actions: list[Action]) -> None:
+        """Forget the requests that are done, once all actions on them are carried out.
+
+        An action may follow the one that ends its request: the key of a rejected request is released after
+        the rejection.
+        """
+        for action in actions:
+            request_id = getattr(action, "request_id", None)
+            if request_id is not None and (request := self.requests.get(request_id)):
+                self.requests.forget_if_done(request)
 
     def _set_health(self, healthy: bool) -> None:
         self.healthy = healthy
--- a/tests/frontends/test_floods.py
+++ b/tests/frontends/test_floods.py
@@ -84,6 +84,21 @@
     run_async(check)
 
 
+def test_streams_that_are_cancelled_at_once_delay_no_verdict_of_others() -> None:
+    async def check() -> None:
+        async with running_process(at_once=200) as node:
+            clients = WellBehavedClients(node)
+            kind = StreamFloodKind.CANCELLED_REQUESTS
+            async with flooding(node.streams, kind, FLOOD_S + FLOOD_STARTUP_S):
+                await asyncio.sleep(FLOOD_STARTUP_S)
+                await clients.run(FLOOD_S)
+            for report in clients.reports.values():
+                assert report.slowest < VERDICT_TIMEOUT_S
+                assert not report.answers["none"]
+
+    run_async(check)
+
+
 def test_a_router_within_the_protocol_is_not_held_back() -> None:
     async def check() -> None:
         async with running_process(at_once=64) as node:
