uwsgi: a request on a kept connection in a drain is looked up, not told "not run"

Cause: a drain ends the keeping of connections after the next answer, and the parser took any further request on such a connection for a second one at a time, though the last answer had said keep-alive.

Change: only a request that comes while another is unanswered is one too many.

--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -93,7 +93,7 @@
         except wire.StreamError as error:
             raise UnreadableStreamError(str(error), error.status) from error
         for request in requests:
-            if self.unanswered or (self.request_ref and not self.keep_alive):
+            if self.unanswered:
                 raise UnreadableStreamError("more than one request at a time")
             self._record_message()
             self._handle_request(request)
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -125,6 +125,39 @@
     run_async(check)
 
 
+def test_a_request_on_a_kept_connection_in_a_drain_is_looked_up_and_answered() -> None:
+    # guards against "not run" for a top-up that ran (docs/incidents/not-run-on-a-kept-connection.md)
+    async def check() -> None:
+        async with running_node(listen="keep=true") as node:
+            reader, writer = await connect(node.gateway_address)
+            request = uwsgi.encode(variables("POST", "/topup", HTTP_IDEMPOTENCY_KEY="k"), b"five")
+            writer.write(request)
+            assert (await read_reply(reader)).fields["connection"] == "keep-alive"
+            node.app.request_drain()
+            await until(lambda: not node.app.core.healthy)
+            writer.write(request)
+            reply = await read_reply(reader)
+            assert (reply.status, reply.body, reply.not_run) == (200, b"made for five", False)
+            assert reply.fields["connection"] == "close"
+            assert await reader.read() == b""
+            assert len(node.runs) == 1
+
+    run_async(check)
+
+
+@pytest.mark.parametrize("keep", ["true", "false"])
+def test_a_second_request_before_the_answer_ends_the_connection_after_it(keep: str) -> None:
+    async def check() -> None:
+        async with running_node(listen=f"keep={keep}") as node:
+            reader, writer = await connect(node.gateway_address)
+            writer.write(uwsgi.encode(variables("GET", "/balance/1")) * 2)
+            assert (await read_reply(reader)).status == 200
+            assert await reader.read() == b""
+            assert len(node.runs) == 1
+
+    run_async(check)
+
+
 # Invalid requests and unreadable streams
 
 
