Reload: find the classes of routes by their names, not by positions of the new file

Cause: routes were taken over with the positions that classes have in the new file, while the core keeps the classes of the start of the process.

Change: at a reload positions are found by the names of the classes; a mapping with a route to a class that is not in force stays as it is and is named in the log line.

Other side: the routes that remain are served, a removed one gets 404.

--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -127,12 +127,17 @@
 
         self.by_name = {name: RequestMapping(rules) for name, rules in operator.mappings.items()}
 
-    def reload(self, _old: Files, new: Files) -> list[str]:
-        """Update each mapping; return those whose changes take effect only at a restart."""
+    def reload(self, old: Files, new: Files) -> list[str]:
+        """Update each mapping; return those whose changes take effect only at a restart.
+
+        The classes stay those of the start of the process: the new rules are told their positions there.
+        """
         assert new.operator
         pending_restart: list[str] = []
         for name, mapping in self.by_name.items():
             rules = new.operator.mappings.get(name)
+            if rules:
+                rules = rules.with_classes(new.config.classes, old.config.classes)
             if rules and _can_update(mapping.settings, rules):
                 mapping.update(rules)
             elif rules != mapping.settings:
--- a/shelfhaven/routing/request_mapping.py
+++ b/shelfhaven/routing/request_mapping.py
@@ -10,8 +10,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from shelfhaven.errors import ShelfhavenError
 from shelfhaven.routing.caller_numbers import CallerNumbers, hash_name
@@ -128,6 +128,22 @@
     footprint_kb: float = 24.0
     extra_variables: tuple[str, ...] = ()
 
+    def with_classes(self, own: Sequence[str], other: Sequence[str]) -> MappingSettings | None:
+        """Return the same rules with the positions that classes have in another list, found by their names.
+
+        None if the other list lacks a class that is used.  `own`: the list of the present positions.
+        """
+        used = {route.class_index for route in self.routes}
+        if any(own[index] not in other for index in used):
+            return None
+        routes = tuple(
+            replace(route, class_index=other.index(own[route.class_index])) for route in self.routes
+        )
+        idempotent = frozenset(
+            other.index(own[index]) for index in self.idempotent_classes if own[index] in other
+        )
+        return replace(self, routes=routes, idempotent_classes=idempotent)
+
     def variable_names(self) -> frozenset[str]:
         """Return the names of the variables that requests are mapped by, or that backends get."""
         sources = (
--- a/tests/frontends/test_uwsgi_faults.py
+++ b/tests/frontends/test_uwsgi_faults.py
@@ -6,9 +6,11 @@
 import os
 import signal
 import time
+from unittest.mock import patch
 
 import pytest
 
+from shelfhaven.decision.settings import RetrySafety
 from shelfhaven.lab import checker, demo
 from shelfhaven.lab.backend_stub import BackendStub, ExecutedRun, StubMode
 from shelfhaven.lab.callers import connect, read_reply, until
@@ -236,6 +238,51 @@
     run_async(check)
 
 
+@pytest.mark.parametrize("change", ["one class less", "another order", "one class more"])
+def test_a_reload_finds_classes_by_their_names(change: str) -> None:
+    # guards against a class that takes the place of another (docs/incidents/classes-after-a-reload.md)
+    async def check() -> None:
+        async with running_node() as node:
+            lines = node.path.read_text().splitlines()
+            balance = next(line for line in lines if 'class "balance"' in line)
+            order = next(line for line in lines if 'class "order"' in line)
+            match change:
+                case "one class less":
+                    lines = [line for line in lines if '"balance"' not in line]
+                case "another order":
+                    lines = [{balance: order, order: balance}.get(line, line) for line in lines]
+                case _:
+                    lines.insert(lines.index(balance), balance.replace("balance", "statement"))
+            node.path.write_text("\n".join(lines))
+            node.app.reload()
+            node.backends[0].release.clear()
+            ordering = asyncio.ensure_future(node.ask("POST", "/order/1", b"one"))
+            await until(lambda: node.runs)
+            (request,) = node.app.core.requests.by_id.values()
+            assert request.class_settings.retry_safety is RetrySafety.NOT_IDEMPOTENT
+            node.backends[0].release.set()
+            assert (await ordering).status == 200
+            status = (await node.ask("GET", "/balance/1")).status
+            assert status == (404 if change == "one class less" else 200)
+
+    run_async(check)
+
+
+def test_a_reload_with_a_route_to_a_class_that_is_not_in_force_keeps_the_mapping() -> None:
+    async def check() -> None:
+        async with running_node() as node:
+            text = node.path.read_text()
+            text = text.replace('class "order"', 'class "statement"').replace('"order"', '"statement"')
+            node.path.write_text(text)
+            with patch.object(node.app.log, "event") as logged:
+                node.app.reload()
+            (reload,) = [call.kwargs for call in logged.call_args_list if call.args == ("reloaded",)]
+            assert "mapping m" in reload["kept_until_restart"]
+            assert (await node.ask("POST", "/order/1", b"one")).status == 200
+
+    run_async(check)
+
+
 def test_a_reload_rejects_an_invalid_file_and_keeps_the_old_configuration(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
