--- a/tests/pinned/test_wire_bytes.py
+++ b/tests/pinned/test_wire_bytes.py
@@ -20,7 +20,7 @@
 from shelfhaven.election import records as duties
 from shelfhaven.failover import traffic_policy as zones
 from shelfhaven.failover import wire as gossip
-from shelfhaven.frontends import extproc, extproc_messages
+from shelfhaven.frontends import extproc_messages, extproc_stream
 from shelfhaven.idempotency import vote_transfer
 from shelfhaven.idempotency import wire as claims
 from shelfhaven.membership import signed_datagram, snapshot_codec
@@ -146,7 +146,7 @@
     served = processor_policy.ImmediateResponse(200, "", False, result=b"stored")
     launch = messages.LaunchRun("00112233445566aa", "topup", b"", 0.4)
     listener: Any = SimpleNamespace(streams=SimpleNamespace(hold=lambda size: True), load=0.5)
-    stream = object.__new__(extproc.ExternalProcessingStream)
+    stream = object.__new__(extproc_stream.ExternalProcessingStream)
     stream.listener = listener
     stream.body_requested = False
     stream.headers_received = True
