ext_proc: a connection has 1,000 streams at a time, by a setting; 4,000 before

Callers saw: while one client wrote streams on one connection of the listener for proxies without waiting for their ends, read or unread, sound or cancelled at once, the verdicts of other clients took up to 1.6 s (limit 0.3 s) and the process used 109 to 118 MB (limit 96 MB).

Cause: the gRPC library takes up streams first come first served and let one connection have twice as many as the listener admits of all. Streams that wait there can't be seen or ordered by the node. A handler that does nothing takes up no more than one and a half times as many a second, so the cost is the library's.

Smaller values were tried and lose verdicts of a sound proxy at the limit (512 streams with a limit of 128: 288 and 340 without one); without the library's overload protection none is lost, but a client that cancels lets memory grow to 334 MB.

Tests: four parameters of test_a_proxy_that_writes_streams_without_limit_costs_others_no_verdicts... failed before (107 to 117 MB) and pass; the other side, 1,000 open streams of one proxy, passes before and after.

--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -55,7 +55,6 @@
 
 # Limits of the gRPC library, as multiples of the number of streams that this server admits.  They are above
 # that number, as the library rejects streams at random from its first limit on, whichever proxy sent them.
-CONCURRENT_STREAMS_FACTOR = 2
 PENDING_REQUESTS_FACTOR = 5
 PENDING_REQUESTS_HARD_FACTOR = 10
 
@@ -169,7 +168,7 @@
                 ("grpc.http2.lookahead_bytes", LOOKAHEAD_BYTES),
                 ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
                 ("grpc.max_metadata_size", MAX_METADATA_BYTES),
-                ("grpc.max_concurrent_streams", CONCURRENT_STREAMS_FACTOR * max_streams),
+                ("grpc.max_concurrent_streams", self.settings.max_connection_streams),
                 ("grpc.server.max_pending_requests", PENDING_REQUESTS_FACTOR * max_streams),
                 ("grpc.server.max_pending_requests_hard_limit", PENDING_REQUESTS_HARD_FACTOR * max_streams),
             ]
--- a/shelfhaven/lab/flood_client.py
+++ b/shelfhaven/lab/flood_client.py
@@ -72,12 +72,25 @@
 }
 
 
-def send_flood(port: int, kind: FloodKind, seconds: float, reads_answers: bool) -> None:
-    """Send messages until the time is over or the peer has closed the connection."""
-    make_message = MESSAGES[kind]
+def send_flood(
+    port: int,
+    make_message: Callable[[int], bytes],
+    seconds: float,
+    reads_answers: bool,
+    connection_start: bytes = b"",
+) -> None:
+    """Send messages until the time is over or the peer has closed the connection.
+
+    Args:
+        port: the port of the listener.
+        make_message: returns the message with a number, which begins at 1.
+        seconds: duration of the flood.
+        reads_answers: whether to read and drop the answers.
+        connection_start: what is sent before the messages.
+    """
     ends_at = time.monotonic() + seconds
     number = 0
-    pending = b""
+    pending = connection_start
     with socket.create_connection(("127.0.0.1", port)) as connection, contextlib.suppress(ConnectionError):
         if reads_answers:
             threading.Thread(target=_read_answers, args=(connection,), daemon=True).start()
@@ -102,4 +115,5 @@
 
 if __name__ == "__main__":
     port_text, kind_text, seconds_text, *options = sys.argv[1:]
-    send_flood(int(port_text), FloodKind(kind_text), float(seconds_text), "unread" not in options)
+    message_maker = MESSAGES[FloodKind(kind_text)]
+    send_flood(int(port_text), message_maker, float(seconds_text), "unread" not in options)
--- a/shelfhaven/operator_config/listen.py
+++ b/shelfhaven/operator_config/listen.py
@@ -29,7 +29,7 @@
 from shelfhaven.routing.processor_policy import ConsultSettings
 from shelfhaven.routing.request_mapping import MappingSettings
 
-MAX_STREAMS_BOUND = 100_000  # upper bound of the setting `streams`
+MAX_STREAMS_BOUND = 100_000  # upper bound of the settings `streams` and `connection-streams`
 
 
 class ListenProtocol(StrEnum):
@@ -149,6 +149,9 @@
         lease=node.take("lease", positive_duration, default.lease),
         max_body_bytes=node.take("body-most", size, default.max_body_bytes),
         max_streams=node.take("streams", integer(1, MAX_STREAMS_BOUND), default.max_streams),
+        max_connection_streams=node.take(
+            "connection-streams", integer(1, MAX_STREAMS_BOUND), default.max_connection_streams
+        ),
         max_buffered_bytes=node.take("bytes", size, default.max_buffered_bytes),
         fail_open=node.take("fail-open", boolean, default.fail_open),
         shadow_classes=shadow_classes,
--- a/shelfhaven/routing/processor_policy.py
+++ b/shelfhaven/routing/processor_policy.py
@@ -58,6 +58,7 @@
         lease: time after which a run without a report from the proxy is considered ended.
         max_body_bytes: maximum body size of a request with an idempotency key, and of its result.
         max_streams: maximum number of open streams.
+        max_connection_streams: maximum number of open streams of one connection; the proxy is told.
         max_buffered_bytes: maximum total size of the bodies buffered for all streams.
         fail_open: whether the proxy forwards a request for which it received no verdict.
         shadow_classes: classes whose requests are continued even if the core rejects them.
@@ -68,6 +69,7 @@
     lease: float = 10.0
     max_body_bytes: int = 64 * 1024
     max_streams: int = 2000
+    max_connection_streams: int = 1000
     max_buffered_bytes: int = 8 << 20
     fail_open: bool = False
     shadow_classes: frozenset[int] = frozenset()
--- a/tests/frontends/test_floods.py
+++ b/tests/frontends/test_floods.py
@@ -7,10 +7,12 @@
 
 import pytest
 
-from shelfhaven.lab.callers import Router, connect
+from shelfhaven.lab.callers import STEP_TIMEOUT_S, Router, connect
 from shelfhaven.lab.flood_client import FloodKind
+from shelfhaven.lab.proxy import ProxyStub
 from shelfhaven.lab.stream_flood_client import StreamFloodKind
 from shelfhaven.protocol import jsonrpc
+from shelfhaven.routing.processor_policy import ConsultSettings
 from shelfhaven.server.message_allowance import BURST_MESSAGES, MESSAGES_PER_SECOND, MessageAllowance
 from tests.frontends.node_process import (
     DEADLINE_S,
@@ -84,6 +86,43 @@
     run_async(check)
 
 
+FRAME_FLOODS = [StreamFloodKind.FRAMES, StreamFloodKind.CANCELLED_FRAMES]
+
+
+@pytest.mark.parametrize("reads_answers", [True, False], ids=["read", "unread"])
+@pytest.mark.parametrize("kind", FRAME_FLOODS)
+def test_a_proxy_that_writes_streams_without_limit_costs_others_no_verdicts_and_little_memory(
+    kind: StreamFloodKind, reads_answers: bool
+) -> None:
+    # guards against thousands of streams of one connection in the gRPC library
+    # (incident flood-on-one-connection)
+    async def check() -> None:
+        async with running_process(at_once=200) as node:
+            clients = WellBehavedClients(node)
+            async with flooding(node.streams, kind, FLOOD_S + FLOOD_STARTUP_S, reads_answers):
+                seconds = FLOOD_S + FLOOD_STARTUP_S
+                _, peak_memory_mb = await asyncio.gather(clients.run(seconds), node.peak_memory_mb(seconds))
+            for report in clients.reports.values():
+                assert report.answers["served"] > 0.9 * report.answers.total()
+                assert not report.answers["none"]
+            assert peak_memory_mb < MEMORY_LIMIT_MB
+
+    run_async(check)
+
+
+@pytest.mark.parametrize("kind", FRAME_FLOODS)
+def test_a_burst_of_streams_delays_no_verdict_of_others(kind: StreamFloodKind) -> None:
+    async def check() -> None:
+        async with running_process(at_once=200) as node:
+            clients = WellBehavedClients(node)
+            async with flooding(node.streams, kind, FLOOD_S):
+                await clients.run(FLOOD_S)
+            for report in clients.reports.values():
+                assert report.slowest < VERDICT_TIMEOUT_S
+
+    run_async(check)
+
+
 def test_streams_that_are_cancelled_at_once_delay_no_verdict_of_others() -> None:
     async def check() -> None:
         async with running_process(at_once=200) as node:
@@ -99,6 +138,19 @@
     run_async(check)
 
 
+def test_a_proxy_with_all_streams_of_its_connection_open_gets_all_verdicts() -> None:
+    async def check() -> None:
+        async with running_process(at_once=200) as node:
+            proxy = ProxyStub(node.streams.port, [], verdict_timeout=STEP_TIMEOUT_S)
+            count = ConsultSettings().max_connection_streams
+            asking = (proxy.ask("GET", f"/balance/{number}") for number in range(count))
+            exchanges = await asyncio.gather(*asking)
+            assert all(exchange.verdict_latency is not None for exchange in exchanges)
+            await proxy.close()
+
+    run_async(check)
+
+
 def test_a_router_within_the_protocol_is_not_held_back() -> None:
     async def check() -> None:
         async with running_process(at_once=64) as node:
