--- a/shelfhaven/lab/etcd_stub.py
+++ b/shelfhaven/lab/etcd_stub.py
@@ -117,6 +117,17 @@
             self.servers.append(server)
         self.expiry_task = asyncio.ensure_future(self._expire_leases_periodically())
 
+    async def __aenter__(self) -> EtcdStub:
+        """Start; the context stops the store however it ends.
+
+        If a gRPC server is garbage-collected without having been stopped, the process waits for it forever.
+        """
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
     async def stop(self) -> None:
         """Stop as in a crash: all connections break."""
         if self.expiry_task:
--- a/tests/election/test_fleet_store_faults.py
+++ b/tests/election/test_fleet_store_faults.py
@@ -132,9 +132,7 @@
 
 def test_all_nodes_move_to_another_store_on_sighup() -> None:
     async def check() -> None:
-        new_store = EtcdStub()
-        await new_store.start()
-        async with election_fleet("etcd") as elections:
+        async with EtcdStub() as new_store, election_fleet("etcd") as elections:
             await elections.fleet.start_all()
             await elections.wait_for_leader()
             # SIGHUP would kill a process that has not blocked the signal yet.
@@ -152,7 +150,6 @@
             holders = {line["server"] for node in elections.nodes for line in node.events("duty")[-1:]
                        if line["state"] == "holding"}  # fmt: skip
             assert len(holders) == 1
-        await new_store.stop()
 
     play(check)
 
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -175,12 +175,11 @@
         stopped, running = EtcdStub(), EtcdStub()
         await stopped.start()
         await stopped.stop()
-        await running.start()
-        client = Client(stopped, running)
-        await client.run(ReadList(), ListServiceFailed)
-        assert (await client.run(ReadList(), ListReadCompleted)).revision == 1
-        await client.etcd.end()
-        await running.stop()
+        async with running:
+            client = Client(stopped, running)
+            await client.run(ReadList(), ListServiceFailed)
+            assert (await client.run(ReadList(), ListReadCompleted)).revision == 1
+            await client.etcd.end()
 
     run_async(check)
 
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -180,9 +180,7 @@
 
 def test_a_list_service_reconfigured_by_sighup_during_the_start_is_used() -> None:
     async def check() -> None:
-        other = EtcdStub()
-        await other.start()
-        async with world() as fleet_world:
+        async with EtcdStub() as other, world() as fleet_world:
             fleet_world.store.mode = Mode.HANG
             await fleet_world.fleet.start_all()
             await soon(lambda: all(node.events("phase") for node in fleet_world.nodes))
@@ -196,7 +194,6 @@
             await soon(lambda: all(node.events("reloaded") for node in fleet_world.nodes))
             await soon(lambda: fleet_world.fleet.all_know(6), 30.0)
             assert other.requests_by_method["Put"] == 6
-        await other.stop()
 
     play(check)
 
