Identity of a request: key and body, and the variables that the operator names

Also, without a reload: one key and body with two queries ran twice, over uwsgi alone or with a try over JSON-RPC between them.

Cause: what tells requests with one key apart was made of the segments that the route's wildcards match, and of the query.

Change: class, tenant, key and body identify a request; the setting `identity` of a mapping names further variables. All mappings name the same; a reload with another identity keeps the mapping and says so. Keys in files of earlier versions are found by the digests that those would make. Reservations have the same identity.

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -323,7 +323,7 @@
     slowest = 0.0
     for number in range(LOOKUP_COUNT):
         started_at = time.perf_counter()
-        previous.find(2.0, digest(number) + UNKNOWN_LOCATION, digest(number), 0.0)
+        previous.find(2.0, digest(number) + UNKNOWN_LOCATION, (digest(number),), 0.0)
         slowest = max(slowest, time.perf_counter() - started_at)
     return slowest
 
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -144,6 +144,7 @@
                 variables.get("CONTENT_TYPE", ""),
                 mapped.extra_variables,
                 mapped.identity_parts,
+                mapped.earlier_identity_parts,
             ),
         )
 
--- a/shelfhaven/lab/state_node.py
+++ b/shelfhaven/lab/state_node.py
@@ -109,7 +109,7 @@
 
     def remaining_validity(self, number: int) -> float:
         """Return how many seconds a key of an earlier incarnation remains valid; 0 if not recorded."""
-        previous = self.state.find_previous(key(number), LEGACY_DIGEST, KEY_TTL)
+        previous = self.state.find_previous(key(number), (LEGACY_DIGEST,), KEY_TTL)
         return max((found.valid_for for found in previous if found.is_recorded), default=0.0)
 
     def uncertain_for(self) -> float:
--- a/shelfhaven/operator_config/__init__.py
+++ b/shelfhaven/operator_config/__init__.py
@@ -117,10 +117,19 @@
         root.skip_children(name, "the platform's configuration takes precedence")
 
 
+def _check_identity(nodes: Sequence[ConfigNode], mappings: Mapping[str, MappingSettings]) -> None:
+    """Check that all mappings name the same variables: a request and its repeat may come by two of them."""
+    for node, mapping in zip(nodes, mappings.values(), strict=True):
+        first = next(iter(mappings.values()))
+        if mapping.identity_variables != first.identity_variables:
+            raise node.error("identity", f"differs from that of the mapping {first.name!r}")
+
+
 def _read_operator(root: ConfigNode, config: Config) -> Operator:
     """Read all nodes except those of the node's basic configuration; leaves `origins` empty."""
     mapping_nodes = root.children("mapping")
     mappings = unique_by_name((read_mapping(node, config) for node in mapping_nodes), root, "mapping")
+    _check_identity(mapping_nodes, mappings)
     listen_nodes = root.children("listen")
     listens = unique_by_name((read_listen(node, mappings, config) for node in listen_nodes), root, "listen")
     pool_nodes = root.children("pool")
--- a/shelfhaven/operator_config/mapping.py
+++ b/shelfhaven/operator_config/mapping.py
@@ -40,7 +40,8 @@
     routes = _read_routes(mapping, config.classes)
     default = MappingSettings(name, tuple(routes))
     callers = _read_callers(mapping, default)
-    extra_variables = _read_extra_variables(mapping)
+    extra_variables = _read_variable_names(mapping, "pass")
+    identity_variables = _read_variable_names(mapping, "identity")
     tenant = _read_source(mapping, "tenant", default.tenant)
     if tenant.default and config.tenants and tenant.default not in config.tenants:
         raise mapping.error("tenant > default", f"{tenant.default!r} is not a configured tenant")
@@ -57,6 +58,7 @@
         work_hint=_read_time_source(mapping, "work", default.work_hint),
         footprint_kb=mapping.take("footprint", size, int(default.footprint_kb * BYTES_PER_KB)) / BYTES_PER_KB,
         extra_variables=extra_variables,
+        identity_variables=identity_variables,
         caller=callers.source,
         max_callers=callers.max_callers,
         caller_idle_time=callers.idle_time,
@@ -113,9 +115,9 @@
     )
 
 
-def _read_extra_variables(mapping: ConfigNode) -> tuple[str, ...]:
-    """Read the node `pass`, whose arguments are names of variables."""
-    node = mapping.child("pass")
+def _read_variable_names(mapping: ConfigNode, name: str) -> tuple[str, ...]:
+    """Read a node whose arguments are names of variables."""
+    node = mapping.child(name)
     if node is None:
         return ()
     names = tuple(text(raw) for raw in node.args)
--- a/shelfhaven/program/frontends.py
+++ b/shelfhaven/program/frontends.py
@@ -146,8 +146,15 @@
 
 
 def _can_update(current: MappingSettings, new: MappingSettings) -> bool:
-    """Return whether the rules keep the tenants and idempotent classes, which other components depend on."""
-    return new.tenants == current.tenants and new.idempotent_classes == current.idempotent_classes
+    """Return whether the rules keep what other components depend on, and what identifies a request.
+
+    A repeat that comes after the reload could not be told from its original by other variables.
+    """
+    return (
+        new.tenants == current.tenants
+        and new.idempotent_classes == current.idempotent_classes
+        and new.identity_variables == current.identity_variables
+    )
 
 
 class Proxies(Component):
--- a/shelfhaven/routing/request_mapping.py
+++ b/shelfhaven/routing/request_mapping.py
@@ -109,6 +109,7 @@
         caller_idle_time: seconds without requests after which a caller's name may be evicted.
         footprint_kb: memory reserved for a request in addition to its body.
         extra_variables: variables passed to the backend in addition to the standard ones.
+        identity_variables: variables that, beside the idempotency key and the body, tell requests apart.
     """
 
     name: str
@@ -127,6 +128,7 @@
     caller_idle_time: float = 60.0
     footprint_kb: float = 24.0
     extra_variables: tuple[str, ...] = ()
+    identity_variables: tuple[str, ...] = ()
 
     def with_classes(self, own: Sequence[str], other: Sequence[str]) -> MappingSettings | None:
         """Return the same rules with the positions that classes have in another list, found by their names.
@@ -151,7 +153,7 @@
             self.work_hint, self.caller,
         )  # fmt: skip
         named = (source.variable for source in sources if source.variable)
-        return frozenset((*STANDARD_VARIABLES, *named, *self.extra_variables))
+        return frozenset((*STANDARD_VARIABLES, *named, *self.extra_variables, *self.identity_variables))
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +171,9 @@
         partition_key: hash of the name of the data that the request works on.
         work_hint: expected run time.
         footprint_kb: memory to reserve for the request, including its body.
-        identity_parts: parts of the path and query that, together with the body, identify what is requested.
+        identity_parts: values of the identity variables, in their order.
+        earlier_identity_parts: what earlier versions took for the identity: the segments that the route's
+            wildcards match, and the query; only records of those versions are found by them.
         extra_variables: additional variables to pass to the backend.
     """
 
@@ -184,6 +188,7 @@
     work_hint: float
     footprint_kb: float
     identity_parts: tuple[str, ...]
+    earlier_identity_parts: tuple[str, ...]
     extra_variables: tuple[tuple[str, str], ...]
 
 
@@ -243,7 +248,10 @@
             partition_key=hash_name(partition) if partition else 0,
             work_hint=settings.work_hint.number(variables) or 0.0,
             footprint_kb=settings.footprint_kb + size / 1024,
-            identity_parts=_identity_parts(matched.captured_segments, variables.get("QUERY_STRING", "")),
+            identity_parts=tuple(variables.get(name, "") for name in settings.identity_variables),
+            earlier_identity_parts=_earlier_identity_parts(
+                matched.captured_segments, variables.get("QUERY_STRING", "")
+            ),
             extra_variables=tuple(
                 (name, variables[name]) for name in settings.extra_variables if name in variables
             ),
@@ -302,5 +310,5 @@
     return segments
 
 
-def _identity_parts(captured_segments: tuple[str, ...], query: str) -> tuple[str, ...]:
+def _earlier_identity_parts(captured_segments: tuple[str, ...], query: str) -> tuple[str, ...]:
     return (*captured_segments, query) if captured_segments or query else ()
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from shelfhaven.config import Config
 from shelfhaven.decision.settings import Outcome
@@ -170,11 +170,11 @@
         new request ids, which the controller does not know.  Returns whether a key was added.
         """
         submission = request.submission
-        legacy_digest = key_digests.reservation_digest(self._named_key(submission), submission)
+        earlier_digests = key_digests.earlier_digests(self._named_key(submission), submission)
         key_ttl = request.class_settings.key_ttl
         restored = False
-        for previous in store.find_previous(self.key_digest_of(request), legacy_digest, key_ttl):
-            key = _key_of_previous(request, previous)
+        for previous in store.find_previous(self.key_digest_of(request), earlier_digests, key_ttl):
+            key = _key_of_previous(request, previous, earlier_digests)
             if key in self.table or (is_duplicate and not previous.is_recorded):
                 continue
             valid_until = self.clocks.monotonic() + previous.valid_for
@@ -224,13 +224,18 @@
         return names[submission.tenant] if 0 <= submission.tenant < len(names) else ""
 
 
-def _key_of_previous(request: Request, previous: messages.PreviousKey) -> RequestKey:
+def _key_of_previous(
+    request: Request, previous: messages.PreviousKey, earlier_digests: Sequence[bytes]
+) -> RequestKey:
     """Return the key of a run of a previous incarnation that the request may repeat.
 
-    It is that of the request if the location of the run is not known apart: of a legacy record, or of a key
-    that only may have run.
+    It is that of the request if the location of the run is not known apart: of a record of an early version,
+    or of a key that only may have run.  The same holds if an earlier version recorded the run with this
+    request's location, but in another form.
     """
     if not key_digests.has_location(previous.digest):
         return request.key
+    if request.content.location is not None and previous.digest in earlier_digests:
+        return request.key
     location = key_digests.location_of(previous.digest)
     return RequestKey(request.key.name, RequestContent(request.content.body, location))
--- a/shelfhaven/server/key_digests.py
+++ b/shelfhaven/server/key_digests.py
@@ -2,6 +2,9 @@
 
 A digest in the key store has two parts: one of class, tenant, key and body, and one of the location, which
 some protocols do not convey.  So an attempt finds the record of its request that came by another protocol.
+
+In records of earlier versions the location is made of the segments that the route's wildcards match and of
+the query, or it is not kept apart.  Such records are found by the digests that those versions would make.
 """
 
 from __future__ import annotations
@@ -16,6 +19,8 @@
     RequestContent,
     add_texts,
     content_digest,
+    earlier_content_digest,
+    earlier_request_content,
 )
 
 NAME_DIGEST_BYTES = DIGEST_BYTES  # first part of a digest in the key store
@@ -50,8 +55,15 @@
     return len(digest) > NAME_DIGEST_BYTES
 
 
+def earlier_digests(key: NamedKey, submission: messages.SubmitRequest) -> tuple[bytes, ...]:
+    """Return the digests of a key in key stores of earlier versions, the latest one first."""
+    without_location = _name_hash(key)
+    without_location.update(earlier_content_digest(submission))
+    return stored_digest(key, earlier_request_content(submission)), without_location.digest()
+
+
 def reservation_digest(key: NamedKey, submission: messages.SubmitRequest) -> bytes:
-    """Return the digest of a key in reservations of the fleet, and in key stores of earlier versions."""
+    """Return the digest of a key in reservations of the fleet."""
     digest = _name_hash(key)
     digest.update(content_digest(submission))
     return digest.digest()
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -81,8 +81,9 @@
 
     Attributes:
         extra_variables: names and values of the variables that the operator lists.
-        identity_parts: what identifies the request beside its class and body, which is the variable parts of
-            the path and the query; empty if requests of this class have neither.
+        identity_parts: what identifies the request beside its key and body: the values of the variables that
+            the operator names; empty if none is named.
+        earlier_identity_parts: what identified it in records of earlier versions.
     """
 
     method: str
@@ -91,6 +92,7 @@
     content_type: str
     extra_variables: tuple[tuple[str, str], ...] = ()
     identity_parts: tuple[str, ...] = ()
+    earlier_identity_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/shelfhaven/server/request_key.py
+++ b/shelfhaven/server/request_key.py
@@ -1,7 +1,9 @@
 """What identifies a request among those with the same idempotency key, and what two attempts have in common.
 
-An attempt conveys as much of its request as its protocol has: JSON-RPC has neither path nor query, and a
-subrequest of a proxy comes without the body.  Only what both attempts convey can tell them apart.
+All attempts of one request share its key and its body.  What else tells requests apart is named by the
+operator: variables such as the query.  An attempt conveys as much of that as its protocol has: JSON-RPC has
+no variables, and a subrequest of a proxy comes without the body.  Only what both attempts convey can tell
+them apart.
 """
 
 from __future__ import annotations
@@ -21,8 +23,8 @@
 
     Attributes:
         body: digest of the body; None if the attempt came without its request's body.
-        location: digest of the path and query parts that distinguish requests with one key; None if the
-            protocol has neither path nor query.
+        location: digest of the variables that distinguish requests with one key; None if the operator names
+            none, or the protocol has no variables.
     """
 
     body: bytes | None
@@ -62,10 +64,17 @@
 def request_content(submission: messages.SubmitRequest) -> RequestContent:
     """Return the digests of a submission's content."""
     body = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES).digest()
+    parts = submission.attributes.identity_parts if submission.attributes else ()
+    location = _location_digest(parts) if parts else None
+    return RequestContent(body if submission.body_known else None, location)
+
+
+def earlier_request_content(submission: messages.SubmitRequest) -> RequestContent:
+    """Return the digests of a submission's content as records of earlier versions have them."""
     location = None
     if submission.attributes:
-        location = _location_digest(submission.attributes.identity_parts)
-    return RequestContent(body if submission.body_known else None, location)
+        location = _location_digest(submission.attributes.earlier_identity_parts)
+    return request_content(submission)._replace(location=location)
 
 
 def _location_digest(identity_parts: tuple[str, ...]) -> bytes:
@@ -81,8 +90,20 @@
 
 
 def content_digest(submission: messages.SubmitRequest) -> bytes:
-    """Return one digest of body, path and query parts, as other nodes and old records have it."""
-    digest = hashlib.blake2b(submission.body, digest_size=DIGEST_BYTES)
-    for text in submission.attributes.identity_parts if submission.attributes else ():
+    """Return one digest of the body and of the variables that tell requests apart."""
+    return _content_digest(
+        submission.body, submission.attributes.identity_parts if submission.attributes else ()
+    )
+
+
+def earlier_content_digest(submission: messages.SubmitRequest) -> bytes:
+    """Return one digest of the content, as versions that did not keep the location apart recorded it."""
+    parts = submission.attributes.earlier_identity_parts if submission.attributes else ()
+    return _content_digest(submission.body, parts)
+
+
+def _content_digest(body: bytes, parts: tuple[str, ...]) -> bytes:
+    digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES)
+    for text in parts:
         digest.update(b"\0%d\0%b" % (len(text), text.encode()))
     return digest.digest()
--- a/shelfhaven/state/previous_incarnation.py
+++ b/shelfhaven/state/previous_incarnation.py
@@ -18,6 +18,7 @@
 import math
 from array import array
 from bisect import bisect_left, bisect_right
+from collections.abc import Sequence
 from typing import Literal
 
 from shelfhaven.server.key_digests import NAME_DIGEST_BYTES, UNKNOWN_LOCATION
@@ -51,20 +52,23 @@
         """Note that all keys have been read; keys not among them stay uncertain until `uncertain_until`."""
         self.uncertain_until = uncertain_until
 
-    def find(self, now: float, digest: bytes, legacy_digest: bytes, key_ttl: float) -> list[PreviousKey]:
+    def find(
+        self, now: float, digest: bytes, earlier_digests: Sequence[bytes], key_ttl: float
+    ) -> list[PreviousKey]:
         """Return the unexpired keys that have run, or may have, and may be of the request with this digest.
 
-        `legacy_digest` is the digest of the request in the earlier format.  There are several if the keys
-        differ in a location that the request does not convey.  A key that is only uncertain would have run
-        before the start, so it counts for at most its TTL.
+        `earlier_digests` are the digests of the request in records of earlier versions.  There are several
+        keys if they differ in a location that the request does not convey.  A key that is only uncertain
+        would have run before the start, so it counts for at most its TTL.
         """
+        digests = (digest, *earlier_digests)
+        found = {index: wanted for wanted in digests for index in self._matches(wanted)}
         recorded = [
-            PreviousKey(self.expiries[index] - now, self._digest_at(index, found))
-            for found in (digest, legacy_digest)
-            for index in self._matches(found)
+            PreviousKey(self.expiries[index] - now, self._digest_at(index, wanted))
+            for index, wanted in found.items()
             if self.expiries[index] > now
         ]
-        exact = [previous for previous in recorded if previous.digest == digest]
+        exact = [previous for previous in recorded if previous.digest in digests]
         if recorded:
             return exact or recorded
         uncertain_for = min(key_ttl, self.uncertain_for(now))
--- a/tests/operator_config/test_operator_config.py
+++ b/tests/operator_config/test_operator_config.py
@@ -82,6 +82,11 @@
             'route "balance" method="POST" path="/topup"',
             "unreachable: shadowed by the earlier route /topup",
         ),
+        (
+            'mapping "m" {',
+            'mapping "first" {\n identity "QUERY_STRING"\n route "topup" path="/topup"\n}\nmapping "m" {',
+            "f: mapping \"m\" identity: differs from that of the mapping 'first'",
+        ),
         ('mapping="m"', 'mapping="n"', "f: listen \"g\" mapping: 'n' is not a mapping"),
         (
             'protocol="uwsgi"',
