"Not run" with an invitation to retry only after the key was looked up

Callers saw: late in a drain a subrequest with the key of a top-up that had run got 403 with X-Not-Run, so that its caller could have it run elsewhere. Cause: past half of the stop time the listener rejected requests by itself. On related paths the same was said without a look at the key: 500 of a subrequest whose handling failed, 503 of an incomplete request given up for memory, 503 of a body that a proxy did not buffer.

Change: requests with a key go to the core late in a drain too; the other answers make no statement on the key. 4xx and 501 are as before.

Test: test_late_in_a_drain_the_key_of_a_request_is_looked_up failed before (403, X-Not-Run) and gets 409 with the result. Three assertions are replaced by the opposite, as they demanded the statement that is wrong for a request whose earlier attempt ran: 500 of a failed handler, 503 of incomplete requests, 503 of a body that was not buffered. They are as strict: which answers have the field and which have not.

--- a/shelfhaven/frontends/subrequest.py
+++ b/shelfhaven/frontends/subrequest.py
@@ -13,6 +13,7 @@
 import asyncio
 import itertools
 import math
+import time
 from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
@@ -60,7 +61,7 @@
     async def response_body(self) -> bytes:
         """Wait for the verdict; set the status and headers of the response and return its body."""
         try:
-            self._map_request(self._cgi_variables())
+            self._map_request(_cgi_variables(self.request))
         except MappingError as error:
             (verdict,) = self.consultation.mapping_failed(error.status, str(error))
             assert isinstance(verdict, processor_policy.ImmediateResponse)
@@ -79,15 +80,6 @@
         if self.verdict and not self.verdict.done():
             self.verdict.cancel()
 
-    def _cgi_variables(self) -> dict[str, str]:
-        """Return the proxied request as CGI variables, which the mapping reads."""
-        headers = self.request.headers
-        target = headers.get("X-Original-URI", self.request.uri or "")
-        variables = {_variable_name(name): value for name, value in headers.get_all()}
-        variables["PATH_INFO"], _, variables["QUERY_STRING"] = target.partition("?")
-        variables["REQUEST_METHOD"] = headers.get("X-Original-Method", self.request.method or "")
-        return variables
-
     def _encode_continue(
         self, _verdict: processor_policy.Continue, launch: messages.LaunchRun | None
     ) -> bytes:
@@ -123,7 +115,7 @@
             context.receive_buffers,
         )
         self.connection_numbers = itertools.count(1)
-        self.stopped = False  # whether it no longer listens; what was sent before gets a rejection
+        self.stopped = False  # whether it no longer listens; what was sent before gets a verdict still
 
     def _make_connection(self, stream: DetachableStream, peer: str) -> SubrequestConnection:
         name = f"{peer} {next(self.connection_numbers)}"
@@ -175,7 +167,7 @@
             status = HTTPStatus.OK if self.is_healthy() else HTTPStatus.SERVICE_UNAVAILABLE
             self._respond(request, status, HTTPHeaders(), b"")
             return
-        if self.stopped:
+        if self.stopped and not self._has_key(request):
             self._reject_unread(request, {"X-Not-Run": "1"})
             return
         if not self.admit(connection):
@@ -191,6 +183,16 @@
             if not subrequest.has_run:  # otherwise its lease goes on, and ends the run
                 subrequest.closed()
 
+    def _has_key(self, request: HTTPServerRequest) -> bool:
+        """Return whether the core may know of an earlier attempt of a request, by its idempotency key."""
+        try:
+            mapped = self.mapping.map_request(
+                time.monotonic(), _cgi_variables(request), request.remote_ip or "", 0
+            )
+        except MappingError:
+            return False
+        return bool(mapped.idempotency_key)
+
     def _reject_unread(self, request: HTTPServerRequest, fields: dict[str, str]) -> None:
         """Reject a request that is not passed on to the core."""
         headers = HTTPHeaders(fields)
@@ -221,6 +223,16 @@
             self.log.event("proxy_gone", peer=request.remote_ip)
 
 
+def _cgi_variables(request: HTTPServerRequest) -> dict[str, str]:
+    """Return the proxied request as CGI variables, which the mapping reads."""
+    headers = request.headers
+    target = headers.get("X-Original-URI", request.uri or "")
+    variables = {_variable_name(name): value for name, value in headers.get_all()}
+    variables["PATH_INFO"], _, variables["QUERY_STRING"] = target.partition("?")
+    variables["REQUEST_METHOD"] = headers.get("X-Original-Method", request.method or "")
+    return variables
+
+
 def _variable_name(field_name: str) -> str:
     """Return the name of the CGI variable of a header field."""
     name = field_name.upper().replace("-", "_")
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -155,7 +155,7 @@
 
     def _encode_unreadable(self, error: UnreadableStreamError) -> bytes:
         status = error.code or HTTPStatus.BAD_REQUEST
-        fields = [http.NOT_RUN, *http.retry_after_fields(status)]
+        fields = http.unread_request_fields(status)
         text = f"{error}\n".encode()
         return http.encode_response(status, fields, text, close=True, method=self.method_in_service)
 
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -9,6 +9,7 @@
               that nothing was executed
     failed    502, or 504 after the deadline; the request may have been executed
     invalid   400, 403, 404, 405, 408, 413, 431 or 501 with the reason; nothing was executed
+    unread    503 with Retry-After; of an earlier attempt nothing is known
 """
 
 from __future__ import annotations
@@ -152,7 +153,7 @@
         """Return the error response; nothing if a request is unanswered, as the peer expects its answer."""
         if self.unanswered:
             return b""
-        fields = [PLAIN_TEXT, http.NOT_RUN, *http.retry_after_fields(error.code)]
+        fields = [PLAIN_TEXT, *http.unread_request_fields(error.code)]
         return http.encode_response(error.code or INVALID, fields, f"{error}\n".encode(), close=True)
 
     def _encode(self, answer: messages.Answer) -> bytes:
--- a/shelfhaven/protocol/http.py
+++ b/shelfhaven/protocol/http.py
@@ -174,9 +174,19 @@
     return head.encode() + body
 
 
-def retry_after_fields(status: int) -> list[tuple[str, str]]:
-    """Return the header fields that say when to retry, for a response that codecs make by themselves."""
-    return [RETRY_SOON] if status == HTTPStatus.SERVICE_UNAVAILABLE else []
+def unread_request_fields(status: int) -> list[tuple[str, str]]:
+    """Return the header fields of a response to a request that was not read or not handled to its end.
+
+    Where it invites another try it does not state that nothing ran: an earlier try of the same request may
+    have run, which only its key could tell.
+    """
+    match status:
+        case HTTPStatus.SERVICE_UNAVAILABLE:
+            return [RETRY_SOON]
+        case HTTPStatus.INTERNAL_SERVER_ERROR:
+            return []
+        case _:
+            return [NOT_RUN]
 
 
 def response_content(method: str, body: bytes) -> bytes:
--- a/shelfhaven/routing/processor_policy.py
+++ b/shelfhaven/routing/processor_policy.py
@@ -224,7 +224,8 @@
             return self._answer(ImmediateResponse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, text, not_run=True))
         if not end_of_stream:
             # Passing this part through would let the proxy forward it before the verdict.
-            response = ImmediateResponse(HTTPStatus.SERVICE_UNAVAILABLE, BODY_NOT_BUFFERED, not_run=True)
+            # Its key is not looked up, and an earlier attempt may have run.
+            response = ImmediateResponse(HTTPStatus.SERVICE_UNAVAILABLE, BODY_NOT_BUFFERED, not_run=False)
             return [ProtocolViolation(BODY_NOT_BUFFERED), *self._answer(response)]
         self.stage = ConsultationStage.SUBMITTED
         body = bytes(self.body)
