Connections: an unexpected error is answered and ends the connection; long ports in Host

Callers saw: a subrequest with a port of 5,000 digits in `Host` got no answer, and its connection stayed open. Cause: the HTTP library converts the port and raises ValueError, which `Connection.run` did not catch, so that nothing closed the connection. Related: an unexpected error while a uwsgi request was mapped left the request noted and never answered, and the text of others was sent to the peer with its traceback.

Change: the library gets no host to convert; `run` logs any other error (`connection_failed`), answers outstanding requests, tells the peer 500 and closes; the peer gets no traceback.

Three tests failed before, each by waiting in vain for an answer.

--- a/shelfhaven/frontends/connection.py
+++ b/shelfhaven/frontends/connection.py
@@ -11,8 +11,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
+import traceback
 from abc import ABC, abstractmethod
 from enum import Enum
 from http import HTTPStatus
@@ -29,6 +31,8 @@
 MESSAGE_TIMEOUT_S = 1.5  # until a message is complete; a caller that sends nothing is closed within 3 s
 CLOSE_TIMEOUT_S = 0.5  # a close waits this long for the peer's end of stream: answers arrive sooner
 CLOSE_POLL_S = 0.02  # between checks for the peer's end of stream
+INTERNAL_ERROR_TEXT = "an error in this server"  # all that a peer learns of an unexpected error
+TRACEBACK_FRAMES = -4  # in the log; a negative limit keeps the innermost frames
 
 
 class ConnectionState(Enum):
@@ -105,6 +109,7 @@
 
     async def run(self) -> None:
         """Read until the stream ends, send outstanding answers, and close."""
+        has_failed = False
         try:
             await self._serve()
         except (OSError, StreamClosedError, TimeoutError):
@@ -112,13 +117,26 @@
         except asyncio.CancelledError:
             self._release()
             raise
+        except Exception:  # noqa: BLE001 - logged, and told to the peer
+            has_failed = self.closed_by_reader = True
+            self.fail_internally()
         try:
+            if has_failed:
+                await self._send_outstanding()
             await self._end_stream()
         except (OSError, TimeoutError):
             pass
         finally:
             self._release()
 
+    async def _send_outstanding(self) -> None:
+        """Wait until outstanding answers and the error have been sent, and detach the stream."""
+        await self.output_finished.wait()
+        with contextlib.suppress(OSError, StreamClosedError, TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self.stream.write(b"")
+        self.stream.detach()
+
     async def _end_stream(self) -> None:
         """End this side's stream, unless the peer has ended the connection."""
         if not self.stream.eof_received:
@@ -187,6 +205,11 @@
         self._discard_partial_message()
         self._flush()
 
+    def fail_internally(self) -> None:
+        """Log the exception that is being handled, and stop reading."""
+        self.log.event("connection_failed", error=traceback.format_exc(limit=TRACEBACK_FRAMES))
+        self.fail_unreadable(UnreadableStreamError(INTERNAL_ERROR_TEXT, HTTPStatus.INTERNAL_SERVER_ERROR))
+
     def is_idle(self) -> bool:
         """Whether a close would lose nothing: there is no unanswered request and no unsent or unread data."""
         if self.state is not ConnectionState.OPEN or self.stream.closed():
--- a/shelfhaven/frontends/message_connection.py
+++ b/shelfhaven/frontends/message_connection.py
@@ -10,7 +10,6 @@
 import contextlib
 import socket
 import time
-import traceback
 from abc import abstractmethod
 from collections.abc import Callable
 from typing import TypeAlias
@@ -197,7 +196,7 @@
             self.closed_by_reader = True
             self.fail_unreadable(error)
         except Exception:
-            self.fail_unreadable(UnreadableStreamError(traceback.format_exc(limit=-4)))
+            self.fail_internally()
         if self.draining:
             self.announce_shutdown()
         if not has_more:  # what waits for its turn is no incomplete message
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -24,7 +24,12 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from shelfhaven.backends.failure_boundary import FailureBoundary
-from shelfhaven.frontends.connection import Connection, ConnectionState, UnreadableStreamError
+from shelfhaven.frontends.connection import (
+    INTERNAL_ERROR_TEXT,
+    Connection,
+    ConnectionState,
+    UnreadableStreamError,
+)
 from shelfhaven.frontends.peer_presence import PeerPresence, peer_presence
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.operator_config import Listen
@@ -32,6 +37,7 @@
 from shelfhaven.server.log import Log
 
 MAX_HEADER_BYTES = 32 * 1024
+UNUSED_HOST = "localhost"
 MAX_HEADER_FIELDS = 512  # of a request; parsing thousands of short ones takes as long as hundreds of requests
 LINES_BESIDE_FIELDS = 2  # the request line and the empty line
 # Header fields that the library reads after it has handed them over, named as it does.
@@ -134,7 +140,7 @@
             self.last_used_at = time.monotonic()
         if not is_served:
             status = HTTPStatus.INTERNAL_SERVER_ERROR
-            self.fail_unreadable(UnreadableStreamError("an error in this server", status))
+            self.fail_unreadable(UnreadableStreamError(INTERNAL_ERROR_TEXT, status))
         self.method_in_service = ""
         self._close_if_done()
 
@@ -196,7 +202,12 @@
         for name in list(headers):
             if name not in LIBRARY_FIELDS and not self.is_field_used(name):
                 del headers[name]
-        self.request = HTTPServerRequest(connection=self.connection, start_line=start_line, headers=headers)
+        self.request = HTTPServerRequest(
+            connection=self.connection,
+            start_line=start_line,
+            headers=headers,
+            host=UNUSED_HOST,  # the library would raise an error on some ports in the header field
+        )
 
     def finish(self) -> None:
         """Receive the end of the request."""
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -118,6 +118,9 @@
         except MappingError as error:
             self.message_allowance.charge()
             self.notify_core(messages.RejectMalformed(self, self.request_ref, error.status, str(error)))
+        except Exception:
+            self.unanswered.discard(self.request_ref)  # the core does not know of it
+            raise
 
     def _build_submission(self, request: wire.Request) -> messages.SubmitRequest:
         variables = request.variables
--- a/tests/frontends/test_subrequest_connections.py
+++ b/tests/frontends/test_subrequest_connections.py
@@ -13,6 +13,7 @@
 
 from shelfhaven.config import Address
 from shelfhaven.frontends.subrequest import SubrequestListener
+from shelfhaven.frontends.subrequest_connection import _RequestReader
 from shelfhaven.lab.callers import Reply, connect, read_reply, until
 from tests.frontends.proxy_nodes import ProxyNode
 from tests.frontends.test_subrequest import running_subrequest_node
@@ -275,6 +276,43 @@
     run_async(check)
 
 
+def test_a_port_of_many_digits_in_the_host_field_is_no_error() -> None:
+    # guards against an error that left the connection open without an answer (issue 55)
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            reader, writer = await connect(address)
+            writer.write(REQUEST.replace(b"Host: x", b"Host: x:" + b"1" * 5000))
+            assert (await read_reply(reader)).status == 200
+            writer.close()
+            await until(lambda: not listener.has_connections())
+
+    run_async(check)
+
+
+def test_an_unexpected_error_while_a_request_is_read_is_answered_and_ends_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check() -> None:
+        async with subrequest_listener() as (_, listener, address):
+            events: list[str] = []
+            monkeypatch.setattr(listener.log, "event", lambda event, **_: events.append(event))
+            monkeypatch.setattr(_RequestReader, "headers_received", failing)
+            reader, writer = await connect(address)
+            writer.write(REQUEST)
+            reply = await read_reply(reader)
+            assert (reply.status, reply.not_run) == (500, False)
+            assert reply.body == b"an error in this server\n"
+            assert await read_end(reader) == b""
+            assert "connection_failed" in events
+            await until(lambda: not listener.has_connections())
+
+    run_async(check)
+
+
+def failing(*_: object) -> None:
+    raise ValueError("a fault of the program")
+
+
 def test_silent_proxies_that_fill_the_descriptors_lock_out_nobody_for_long() -> None:
     async def check() -> None:
         async with subrequest_listener() as (node, _, address):
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -10,6 +10,7 @@
 from shelfhaven.lab.backend_stub import StubMode
 from shelfhaven.lab.callers import connect, read_reply, until, variables
 from shelfhaven.protocol import uwsgi
+from shelfhaven.routing.request_mapping import RequestMapping
 from tests.frontends.nodes import FrontendNode, result_body, running_node
 from tests.peers import run_async
 
@@ -161,6 +162,27 @@
 # Invalid requests and unreadable streams
 
 
+def test_an_unexpected_error_is_answered_without_its_traceback(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards against a request that is noted and never answered
+    async def check() -> None:
+        async with running_node() as node:
+
+            def fail(*_: object) -> None:
+                raise ValueError("a fault of the program")
+
+            with monkeypatch.context() as patched:
+                patched.setattr(RequestMapping, "map_request", fail)
+                reader, writer = await connect(node.gateway_address)
+                writer.write(uwsgi.encode(variables("GET", "/balance/1")))
+                reply = await asyncio.wait_for(read_reply(reader), 5.0)
+            assert (reply.status, reply.body) == (500, b"an error in this server\n")
+            assert await asyncio.wait_for(reader.read(), 5.0) == b""
+            writer.close()
+            assert (await node.ask("GET", "/balance/1")).status == 200
+
+    run_async(check)
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
