Failover: the usual load of a zone begins as the mean of its samples, not as the first one

Traced then: its first load sample, taken whole by a new controller, was over half of all load, which is the most that is diverted; each later sample changes the average by a twentieth.

Change: the weight of a sample is one over their number until that is a twentieth. A load known from the policy counts as settled, so that the fall of load before a fault is detected weighs as little as before.

Test: test_a_burst_when_a_controller_begins_... failed before (119.7 after nine samples where 60 is usual, now under 75); the other side, a fall of load while a fault is detected, passes before and after.

--- a/shelfhaven/failover/fault_evidence.py
+++ b/shelfhaven/failover/fault_evidence.py
@@ -16,7 +16,10 @@
 from shelfhaven.failover.settings import FailoverSettings
 from shelfhaven.failover.traffic_policy import FailoverCause, TrafficPolicy
 
-LOAD_SMOOTHING_FACTOR = 0.05  # weight of the latest load in the moving average of a zone's own load
+LOAD_SMOOTHING_FACTOR = 0.05  # least weight of the latest load in the moving average of a zone's own load
+SETTLED_SAMPLE_COUNT = math.ceil(
+    1 / LOAD_SMOOTHING_FACTOR
+)  # until then the average is the mean of all samples
 SPARSE_EVIDENCE_FACTOR = 3.0  # multiplies the evidence time if the evidence comes from a single zone
 # no traffic is diverted to a zone with one of these causes
 EXCLUDED_DESTINATION_CAUSES = (FailoverCause.UNREACHABLE, FailoverCause.FAILING)
@@ -31,6 +34,7 @@
     fault_free_since: float = math.inf  # start of the time without a fault; infinite during a fault
     last_failure_start: float = -math.inf  # when it last started to fail
     usual_load: float = 0.0  # moving average of its own load, without diverted load, while it had no fault
+    load_samples: int = 0  # in that average
 
 
 @dataclass(slots=True)
@@ -110,7 +114,9 @@
     def _update_zone(self, zone: str, snapshot: FleetSnapshot) -> None:
         # the policy carries the load from before a fault that the previous controller observed
         previous_load = snapshot.policy.zone_policy(zone).load
-        evidence = self.zones.setdefault(zone, ZoneEvidence(usual_load=previous_load))
+        evidence = self.zones.setdefault(
+            zone, ZoneEvidence(usual_load=previous_load, load_samples=SETTLED_SAMPLE_COUNT)
+        )
         cause = self._detect_cause(zone, snapshot)
         if cause is FailoverCause.NONE:
             evidence.fault_free_since = min(evidence.fault_free_since, snapshot.now)
@@ -126,15 +132,17 @@
     def _update_usual_load(self, evidence: ZoneEvidence, summary: ZoneSummary) -> None:
         """Update the moving average of a zone's own load.
 
-        The average changes slowly, because the load of a lost zone falls before the fault is detected.
+        The average changes slowly, because the load of a lost zone falls before the fault is detected.  One
+        that begins anew is the mean of its samples at first, so that a burst does not rule it for long.
         """
         if not summary.known_nodes:
             return
         own_load = max(0.0, summary.load - self.received_load.get(summary.zone, 0.0))
-        if evidence.usual_load:
-            evidence.usual_load += LOAD_SMOOTHING_FACTOR * (own_load - evidence.usual_load)
-        else:
-            evidence.usual_load += own_load
+        if not evidence.usual_load:
+            evidence.load_samples = 0
+        evidence.load_samples += 1
+        weight = max(LOAD_SMOOTHING_FACTOR, 1 / evidence.load_samples)
+        evidence.usual_load += weight * (own_load - evidence.usual_load)
 
     def _detect_cause(self, zone: str, snapshot: FleetSnapshot) -> FailoverCause:
         if self._is_unreachable(zone, snapshot):
--- a/tests/failover/test_controller.py
+++ b/tests/failover/test_controller.py
@@ -25,6 +25,27 @@
     )
 
 
+def test_a_burst_when_a_controller_begins_does_not_limit_what_it_diverts_later() -> None:
+    # guards against a lost zone that is diverted in part, as its load seemed over half of all
+    fleet = ControlledFleet()
+    fleet.change("b", load=150.0)
+    fleet.run(0.5)
+    fleet.change("b", load=60.0)
+    fleet.run(4.0)
+    assert 60.0 < fleet.controller.evidence.zones["b"].usual_load < 75.0
+    fleet.lose("b")
+    fleet.run(30.0)
+    assert fleet.diverted("b") == 1.0
+
+
+def test_the_load_from_before_a_fault_outweighs_the_samples_while_it_is_detected() -> None:
+    fleet = ControlledFleet()
+    fleet.run(30.0)
+    fleet.change("b", load=0.0)
+    fleet.run(1.0)
+    assert fleet.controller.evidence.zones["b"].usual_load > 50.0
+
+
 FAULTS = st.sampled_from(["healthy", "unreachable", "failing", "overloaded", "cold", "one witness"])
 
 
