Failover checker: judge a move by the earliest log line of its epoch

Cause: the checker took the last line of an epoch. A renewal keeps the epoch and changes the loads of the open zones, and a node that follows later, as those of a cut-off region do, logs the loads of the renewal. With the logged loads the controller can't have decided this: its bound would have given 0.93 of z0.

Change: the earliest line of an epoch counts, nearest to the decision. It's as strict: a move that was excessive when it was decided is found also where the loads rose later, which the last line hid. Both sides are in test_checker.py.

--- a/shelfhaven/lab/failover_checker.py
+++ b/shelfhaven/lab/failover_checker.py
@@ -39,8 +39,14 @@
     Too much is more than a fraction of the load of all zones, or all of every zone. A policy that diverts no
     more of any zone than the one before keeps the rule, however the loads of the open zones change meanwhile.
     Operators' orders do not count.
+
+    Of each epoch the earliest line counts, whose loads are nearest to those of the decision: a node that
+    follows the policy later has the loads of a renewal.
     """
-    by_epoch = {line["epoch"]: line for line in history if line["event"] == "zones_followed"}
+    by_epoch: dict[int, LogLine] = {}
+    for line in sorted(history, key=lambda line: line["at"]):
+        if line["event"] == "zones_followed":
+            by_epoch.setdefault(line["epoch"], line)
     found = []
     diverted_before: dict[str, float] = {}
     for epoch in sorted(by_epoch):
--- a/tests/failover/test_checker.py
+++ b/tests/failover/test_checker.py
@@ -40,6 +40,11 @@
     fallen = {"x": 1.0, "y": 0.2, "z": 0.2}
     assert diverted_violations([first, followed(2, {"x": 1.0}, fallen)], 3, 0.5) == []
     assert len(diverted_violations([first, followed(2, {"x": 1.0, "y": 0.1}, fallen)], 3, 0.5)) == 1
+    later = followed(1, {"x": 1.0}, fallen) | {"at": 1.5, "server": "b"}
+    assert diverted_violations([later, first], 3, 0.5) == [], "a node that follows a renewal later"
+    excessive = followed(1, {"x": 1.0}, fallen)
+    renewed = first | {"at": 1.5, "server": "b"}
+    assert len(diverted_violations([excessive, renewed], 3, 0.5)) == 1, "the loads rose after the decision"
     by_hand = followed(1, {"x": 1.0, "y": 1.0}, EQUAL) | {"by_hand": ["x"]}
     assert diverted_violations([by_hand], 3, 0.5) == []
 
