Streams: bound the first message at 64 KB and read connections in turn

Cause: decoding such a message takes milliseconds, and up to eight are decoded in one pass of the event loop; reads waited for their turns first come first served, whichever connection they came by.

Change: a first message, which carries the request headers, is rejected with 431 and not decoded if it is over 64 KB; Envoy's own limit on headers is 60 KB. Waiting reads have their turns by connection (FairTurns).

The limit is tested on both sides, 1,000 bytes under and over.

--- a/shelfhaven/frontends/extproc.py
+++ b/shelfhaven/frontends/extproc.py
@@ -258,7 +258,10 @@
         Raises:
             TimeoutError: nothing came in time, or too many reads take long and this is the oldest one.
         """
-        async with asyncio.timeout(self.listen.request_timeout) as limit, self.message_reads.turn(limit):
+        async with (
+            asyncio.timeout(self.listen.request_timeout) as limit,
+            self.message_reads.turn(limit, context.peer()),
+        ):
             return await context.read()
 
     def _measure_load(self) -> None:
--- a/shelfhaven/frontends/extproc_stream.py
+++ b/shelfhaven/frontends/extproc_stream.py
@@ -21,6 +21,7 @@
 from shelfhaven.routing.request_mapping import MappingError
 from shelfhaven.server import messages
 
+MAX_HEADERS_MESSAGE_BYTES = 64 * 1024  # decoding takes long where it consists of fields alone
 MAX_HEADER_FIELDS = 512  # of a request or response; joining thousands takes long
 
 
@@ -58,6 +59,8 @@
         Raises:
             UnexpectedMessageError: the message cannot be decoded, or is not allowed at this point.
         """
+        if not self.headers_received and len(data) > MAX_HEADERS_MESSAGE_BYTES:
+            return self._reject_headers(f"over {MAX_HEADERS_MESSAGE_BYTES} bytes of headers")
         try:
             request = ProcessingRequest.FromString(data)
         except DecodeError as error:
@@ -102,6 +105,12 @@
             case MessageKind.REQUEST_TRAILERS | MessageKind.RESPONSE_TRAILERS:
                 return consultation.trailers(now, of_response=kind is MessageKind.RESPONSE_TRAILERS)
 
+    def _reject_headers(self, text: str) -> ProcessedMessage:
+        """Answer a first message that is not decoded; the stream ends with the answer."""
+        self.headers_received = True
+        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        return ProcessedMessage(MessageKind.REQUEST_HEADERS, self.consultation.mapping_failed(status, text))
+
     def _process_request_headers(self, headers: extproc_pb2.HttpHeaders) -> list[processor_policy.Action]:
         if self.headers_received:
             raise UnexpectedMessageError("request headers a second time")
--- a/shelfhaven/frontends/message_reads.py
+++ b/shelfhaven/frontends/message_reads.py
@@ -2,8 +2,8 @@
 
 The library keeps each message until it is complete, up to the limit of one message, and lets a peer send a
 large one only while the application waits for it.  So the number of reads that wait bounds the memory.  Reads
-take turns: one that takes long gives its turn to the next, and goes on.  Of those that go on, the oldest ones
-end when there are too many.
+take turns, those of each connection one after the other: one that takes long gives its turn to the next, and
+goes on.  Of those that go on, the oldest ones end when there are too many.
 """
 
 from __future__ import annotations
@@ -14,6 +14,8 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from shelfhaven.frontends.fair_turns import FairTurns
+
 BYTES_PER_MB = 1 << 20
 TURN_MEMORY_FRACTION = 1 / 16  # of the memory limit, for reads that have their turn
 SLOW_MEMORY_FRACTION = 1 / 4  # for reads that take long, such as of bodies that come slowly
@@ -40,13 +42,16 @@
     def __init__(self, memory_mb: float, max_message_bytes: int) -> None:
         messages = memory_mb * BYTES_PER_MB / max_message_bytes  # that fit into the memory
         self.max_slow = max(MIN_TURNS, int(SLOW_MEMORY_FRACTION * messages))
-        self._turns = asyncio.Semaphore(max(MIN_TURNS, int(TURN_MEMORY_FRACTION * messages)))
+        self._turns = FairTurns(max(MIN_TURNS, int(TURN_MEMORY_FRACTION * messages)))
         self._reads: dict[_Read, None] = {}  # in the order of their start
 
     @contextlib.asynccontextmanager
-    async def turn(self, limit: asyncio.Timeout) -> AsyncIterator[None]:
-        """Wait for a turn to read, within `limit`, which expires early if too many reads take long."""
-        await self._turns.acquire()
+    async def turn(self, limit: asyncio.Timeout, connection: str) -> AsyncIterator[None]:
+        """Wait for a turn to read, within `limit`, which expires early if too many reads take long.
+
+        `connection` identifies the connection of the stream.
+        """
+        await self._turns.acquire(connection)
         read = _Read(limit, time.monotonic())
         self._reads[read] = None
         try:
--- a/tests/frontends/test_extproc_faults.py
+++ b/tests/frontends/test_extproc_faults.py
@@ -19,6 +19,7 @@
 import trustme
 
 from shelfhaven.config import Address
+from shelfhaven.frontends.extproc_stream import MAX_HEADERS_MESSAGE_BYTES
 from shelfhaven.lab.backend_stub import ExecutedRun
 from shelfhaven.lab.callers import connect, until
 from shelfhaven.lab.node import run_node
@@ -120,6 +121,23 @@
     run_async(check)
 
 
+@pytest.mark.parametrize(("extra_bytes", "status"), [(-1000, 200), (1000, 431)])
+def test_the_first_message_of_a_stream_has_a_size_limit_below_that_of_bodies(
+    extra_bytes: int, status: int
+) -> None:
+    # guards against many streams whose headers take long to decode (incident flood-on-one-connection)
+    async def check() -> None:
+        async with running_proxy_node() as node:
+            value = "y" * (MAX_HEADERS_MESSAGE_BYTES + extra_bytes)
+            exchange = await node.new_proxy().ask("GET", "/balance/1", b"", **{"x-large": value})
+            assert exchange.reply
+            assert exchange.reply.status == status
+            assert exchange.forwarded is (status == 200)
+            await until(lambda: node.app.proxy_listeners[0].open_requests() == 0)
+
+    run_async(check)
+
+
 def test_headers_over_the_limit_and_a_flood_of_pings_do_not_affect_other_connections() -> None:
     async def check() -> None:
         async with running_proxy_node() as node:
--- a/tests/frontends/test_message_reads.py
+++ b/tests/frontends/test_message_reads.py
@@ -14,7 +14,7 @@
 async def read(reads: MessageReads, seconds: float, limit_s: float = 5.0) -> bool:
     """Read for a time; return whether the read was ended early."""
     try:
-        async with asyncio.timeout(limit_s) as limit, reads.turn(limit):
+        async with asyncio.timeout(limit_s) as limit, reads.turn(limit, "one"):
             await asyncio.sleep(seconds)
     except TimeoutError:
         return True
