Review of the change: JSON-RPC errors, one error text, names of the field

A JSON-RPC request that was noted and met an unexpected error before the core knew of it kept its connection open for ever, as over uwsgi before. It is mended the same way; the test, with an answer owed beside it, waited in vain before and passes.

--- a/shelfhaven/failover/fault_evidence.py
+++ b/shelfhaven/failover/fault_evidence.py
@@ -17,9 +17,8 @@
 from shelfhaven.failover.traffic_policy import FailoverCause, TrafficPolicy
 
 LOAD_SMOOTHING_FACTOR = 0.05  # least weight of the latest load in the moving average of a zone's own load
-SETTLED_SAMPLE_COUNT = math.ceil(
-    1 / LOAD_SMOOTHING_FACTOR
-)  # until then the average is the mean of all samples
+# up to this number of samples the average is their mean
+SETTLED_SAMPLE_COUNT = math.ceil(1 / LOAD_SMOOTHING_FACTOR)
 SPARSE_EVIDENCE_FACTOR = 3.0  # multiplies the evidence time if the evidence comes from a single zone
 # no traffic is diverted to a zone with one of these causes
 EXCLUDED_DESTINATION_CAUSES = (FailoverCause.UNREACHABLE, FailoverCause.FAILING)
--- a/shelfhaven/frontends/connection.py
+++ b/shelfhaven/frontends/connection.py
@@ -21,8 +21,10 @@
 
 from tornado.iostream import StreamClosedError
 
+from shelfhaven.backends.failure_boundary import TRACEBACK_LIMIT
 from shelfhaven.errors import ShelfhavenError
 from shelfhaven.frontends.stream import DetachableStream
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 from shelfhaven.server.mailbox import peek
 from shelfhaven.server.receive_buffers import ReceiveBuffers
@@ -31,8 +33,6 @@
 MESSAGE_TIMEOUT_S = 1.5  # until a message is complete; a caller that sends nothing is closed within 3 s
 CLOSE_TIMEOUT_S = 0.5  # a close waits this long for the peer's end of stream: answers arrive sooner
 CLOSE_POLL_S = 0.02  # between checks for the peer's end of stream
-INTERNAL_ERROR_TEXT = "an error in this server"  # all that a peer learns of an unexpected error
-TRACEBACK_FRAMES = -4  # in the log; a negative limit keeps the innermost frames
 
 
 class ConnectionState(Enum):
@@ -131,7 +131,8 @@
 
     async def _send_outstanding(self) -> None:
         """Wait until outstanding answers and the error have been sent, and detach the stream."""
-        await self.output_finished.wait()
+        if not self.stream.closed():
+            await self.output_finished.wait()
         with contextlib.suppress(OSError, StreamClosedError, TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await self.stream.write(b"")
@@ -207,8 +208,10 @@
 
     def fail_internally(self) -> None:
         """Log the exception that is being handled, and stop reading."""
-        self.log.event("connection_failed", error=traceback.format_exc(limit=TRACEBACK_FRAMES))
-        self.fail_unreadable(UnreadableStreamError(INTERNAL_ERROR_TEXT, HTTPStatus.INTERNAL_SERVER_ERROR))
+        self.log.event("connection_failed", error=traceback.format_exc(limit=TRACEBACK_LIMIT))
+        self.fail_unreadable(
+            UnreadableStreamError(messages.INTERNAL_ERROR_TEXT, HTTPStatus.INTERNAL_SERVER_ERROR)
+        )
 
     def is_idle(self) -> bool:
         """Whether a close would lose nothing: there is no unanswered request and no unsent or unread data."""
--- a/shelfhaven/frontends/consulting.py
+++ b/shelfhaven/frontends/consulting.py
@@ -260,7 +260,7 @@
                 variables.get("CONTENT_TYPE", ""),
                 mapped.extra_variables,
                 mapped.identity_parts,
-                mapped.earlier_identity_parts,
+                mapped.legacy_identity_parts,
             ),
             start_within=settings.verdict_budget or None,
             runner=self.listener.runner,
--- a/shelfhaven/frontends/jsonrpc.py
+++ b/shelfhaven/frontends/jsonrpc.py
@@ -132,6 +132,13 @@
 
     def _handle_request(self, request: wire.Request) -> None:
         self._register(request.id)
+        try:
+            self._submit_or_reject(request)
+        except Exception:
+            self.unanswered.discard(request.id)  # the core does not know of it
+            raise
+
+    def _submit_or_reject(self, request: wire.Request) -> None:
         class_index = self.index.classes.get(request.class_name)
         if class_index is None:
             self._reject(request, wire.METHOD_NOT_FOUND, "unknown method")
--- a/shelfhaven/frontends/message_reads.py
+++ b/shelfhaven/frontends/message_reads.py
@@ -14,7 +14,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
-from shelfhaven.frontends.fair_turns import FairTurns
+from shelfhaven.frontends.fair_semaphore import FairSemaphore
 
 BYTES_PER_MB = 1 << 20
 TURN_MEMORY_FRACTION = 1 / 16  # of the memory limit, for reads that have their turn
@@ -42,7 +42,7 @@
     def __init__(self, memory_mb: float, max_message_bytes: int) -> None:
         messages = memory_mb * BYTES_PER_MB / max_message_bytes  # that fit into the memory
         self.max_slow = max(MIN_TURNS, int(SLOW_MEMORY_FRACTION * messages))
-        self._turns = FairTurns(max(MIN_TURNS, int(TURN_MEMORY_FRACTION * messages)))
+        self._turns = FairSemaphore(max(MIN_TURNS, int(TURN_MEMORY_FRACTION * messages)))
         self._reads: dict[_Read, None] = {}  # in the order of their start
 
     @contextlib.asynccontextmanager
--- a/shelfhaven/frontends/subrequest_connection.py
+++ b/shelfhaven/frontends/subrequest_connection.py
@@ -25,7 +25,6 @@
 
 from shelfhaven.backends.failure_boundary import FailureBoundary
 from shelfhaven.frontends.connection import (
-    INTERNAL_ERROR_TEXT,
     Connection,
     ConnectionState,
     UnreadableStreamError,
@@ -34,6 +33,7 @@
 from shelfhaven.frontends.stream import DetachableStream
 from shelfhaven.operator_config import Listen
 from shelfhaven.protocol import http
+from shelfhaven.server import messages
 from shelfhaven.server.log import Log
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -140,7 +140,7 @@
             self.last_used_at = time.monotonic()
         if not is_served:
             status = HTTPStatus.INTERNAL_SERVER_ERROR
-            self.fail_unreadable(UnreadableStreamError(INTERNAL_ERROR_TEXT, status))
+            self.fail_unreadable(UnreadableStreamError(messages.INTERNAL_ERROR_TEXT, status))
         self.method_in_service = ""
         self._close_if_done()
 
--- a/shelfhaven/frontends/uwsgi.py
+++ b/shelfhaven/frontends/uwsgi.py
@@ -148,7 +148,7 @@
                 variables.get("CONTENT_TYPE", ""),
                 mapped.extra_variables,
                 mapped.identity_parts,
-                mapped.earlier_identity_parts,
+                mapped.legacy_identity_parts,
             ),
         )
 
--- a/shelfhaven/lab/etcd_stub.py
+++ b/shelfhaven/lab/etcd_stub.py
@@ -126,6 +126,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        """Stop."""
         await self.stop()
 
     async def stop(self) -> None:
--- a/shelfhaven/lab/stream_flood_client.py
+++ b/shelfhaven/lab/stream_flood_client.py
@@ -87,7 +87,9 @@
 def main() -> None:
     """Run the client that the arguments describe."""
     port_text, kind_text, seconds_text, *options = sys.argv[1:]
-    port, kind, seconds = int(port_text), StreamFloodKind(kind_text), float(seconds_text)
+    port = int(port_text)
+    kind = StreamFloodKind(kind_text)
+    seconds = float(seconds_text)
     if kind.is_of_frames:
         send_frames(port, kind, seconds, "unread" not in options)
     else:
--- a/shelfhaven/routing/request_mapping.py
+++ b/shelfhaven/routing/request_mapping.py
@@ -172,7 +172,7 @@
         work_hint: expected run time.
         footprint_kb: memory to reserve for the request, including its body.
         identity_parts: values of the identity variables, in their order.
-        earlier_identity_parts: what earlier versions took for the identity: the segments that the route's
+        legacy_identity_parts: what earlier versions took for the identity: the segments that the route's
             wildcards match, and the query; only records of those versions are found by them.
         extra_variables: additional variables to pass to the backend.
     """
@@ -188,7 +188,7 @@
     work_hint: float
     footprint_kb: float
     identity_parts: tuple[str, ...]
-    earlier_identity_parts: tuple[str, ...]
+    legacy_identity_parts: tuple[str, ...]
     extra_variables: tuple[tuple[str, str], ...]
 
 
@@ -249,7 +249,7 @@
             work_hint=settings.work_hint.number(variables) or 0.0,
             footprint_kb=settings.footprint_kb + size / 1024,
             identity_parts=tuple(variables.get(name, "") for name in settings.identity_variables),
-            earlier_identity_parts=_earlier_identity_parts(
+            legacy_identity_parts=_legacy_identity_parts(
                 matched.captured_segments, variables.get("QUERY_STRING", "")
             ),
             extra_variables=tuple(
@@ -310,5 +310,5 @@
     return segments
 
 
-def _earlier_identity_parts(captured_segments: tuple[str, ...], query: str) -> tuple[str, ...]:
+def _legacy_identity_parts(captured_segments: tuple[str, ...], query: str) -> tuple[str, ...]:
     return (*captured_segments, query) if captured_segments or query else ()
--- a/shelfhaven/server/actors.py
+++ b/shelfhaven/server/actors.py
@@ -30,11 +30,11 @@
     """Stores idempotency keys so that they outlive the process."""
 
     def find_previous(
-        self, key_digest: bytes, earlier_digests: Sequence[bytes], key_ttl: float
+        self, key_digest: bytes, legacy_digests: Sequence[bytes], key_ttl: float
     ) -> list[messages.PreviousKey]:
         """Return the unexpired keys of runs of this request that a previous incarnation may have started.
 
-        There may be several if the attempt does not convey all that tells them apart.  `earlier_digests` are
+        There may be several if the attempt does not convey all that tells them apart.  `legacy_digests` are
         the key's digests in the records of earlier versions.
         """
 
--- a/shelfhaven/server/core.py
+++ b/shelfhaven/server/core.py
@@ -41,7 +41,6 @@
 from shelfhaven.server.run_launcher import RunLauncher
 from shelfhaven.server.timers import MAX_GAUGES_WAIT, Timers
 
-INTERNAL_ERROR_TEXT = "an error in this server"
 TIMER_RETRY_DELAY = 0.1  # seconds until a timer fires again after the controller raised an exception on it
 
 
@@ -135,10 +134,10 @@
         request = self.requests.get_unanswered(submission.frontend, submission.request_ref)
         if request is None:
             self.answer_sender.fail_unregistered(
-                submission.frontend, submission.request_ref, INTERNAL_ERROR_TEXT
+                submission.frontend, submission.request_ref, messages.INTERNAL_ERROR_TEXT
             )
             return
-        self.completion.give_up(request, INTERNAL_ERROR_TEXT)
+        self.completion.give_up(request, messages.INTERNAL_ERROR_TEXT)
         self.requests.forget_if_done(request)
 
     def _dispatch(self, message: messages.CoreMessage) -> None:
@@ -210,7 +209,7 @@
         if isinstance(event, TimerFired):
             self.timers.set(event.token, TIMER_RETRY_DELAY)
         elif request := self._request_of(event):
-            self.completion.give_up(request, INTERNAL_ERROR_TEXT)
+            self.completion.give_up(request, messages.INTERNAL_ERROR_TEXT)
         return []
 
     def _request_of(self, event: Event) -> Request | None:
--- a/shelfhaven/server/idempotency_keys.py
+++ b/shelfhaven/server/idempotency_keys.py
@@ -170,11 +170,11 @@
         new request ids, which the controller does not know.  Returns whether a key was added.
         """
         submission = request.submission
-        earlier_digests = key_digests.earlier_digests(self._named_key(submission), submission)
+        legacy_digests = key_digests.legacy_digests(self._named_key(submission), submission)
         key_ttl = request.class_settings.key_ttl
         restored = False
-        for previous in store.find_previous(self.key_digest_of(request), earlier_digests, key_ttl):
-            key = _key_of_previous(request, previous, earlier_digests)
+        for previous in store.find_previous(self.key_digest_of(request), legacy_digests, key_ttl):
+            key = _key_of_previous(request, previous, legacy_digests)
             if key in self.table or (is_duplicate and not previous.is_recorded):
                 continue
             valid_until = self.clocks.monotonic() + previous.valid_for
@@ -225,7 +225,7 @@
 
 
 def _key_of_previous(
-    request: Request, previous: messages.PreviousKey, earlier_digests: Sequence[bytes]
+    request: Request, previous: messages.PreviousKey, legacy_digests: Sequence[bytes]
 ) -> RequestKey:
     """Return the key of a run of a previous incarnation that the request may repeat.
 
@@ -235,7 +235,7 @@
     """
     if not key_digests.has_location(previous.digest):
         return request.key
-    if request.content.location is not None and previous.digest in earlier_digests:
+    if request.content.location is not None and previous.digest in legacy_digests:
         return request.key
     location = key_digests.location_of(previous.digest)
     return RequestKey(request.key.name, RequestContent(request.content.body, location))
--- a/shelfhaven/server/key_digests.py
+++ b/shelfhaven/server/key_digests.py
@@ -19,8 +19,8 @@
     RequestContent,
     add_texts,
     content_digest,
-    earlier_content_digest,
-    earlier_request_content,
+    legacy_content_digest,
+    legacy_request_content,
 )
 
 NAME_DIGEST_BYTES = DIGEST_BYTES  # first part of a digest in the key store
@@ -55,11 +55,11 @@
     return len(digest) > NAME_DIGEST_BYTES
 
 
-def earlier_digests(key: NamedKey, submission: messages.SubmitRequest) -> tuple[bytes, ...]:
+def legacy_digests(key: NamedKey, submission: messages.SubmitRequest) -> tuple[bytes, ...]:
     """Return the digests of a key in key stores of earlier versions, the latest one first."""
     without_location = _name_hash(key)
-    without_location.update(earlier_content_digest(submission))
-    return stored_digest(key, earlier_request_content(submission)), without_location.digest()
+    without_location.update(legacy_content_digest(submission))
+    return stored_digest(key, legacy_request_content(submission)), without_location.digest()
 
 
 def reservation_digest(key: NamedKey, submission: messages.SubmitRequest) -> bytes:
--- a/shelfhaven/server/messages.py
+++ b/shelfhaven/server/messages.py
@@ -15,6 +15,8 @@
 
 # Answers, from the core to a frontend
 
+INTERNAL_ERROR_TEXT = "an error in this server"  # all that a caller learns of an unexpected error
+
 
 @dataclass(frozen=True, slots=True)
 class ServedAnswer:
@@ -83,7 +85,7 @@
         extra_variables: names and values of the variables that the operator lists.
         identity_parts: what identifies the request beside its key and body: the values of the variables that
             the operator names; empty if none is named.
-        earlier_identity_parts: what identified it in records of earlier versions.
+        legacy_identity_parts: what identified it in records of earlier versions.
     """
 
     method: str
@@ -92,7 +94,7 @@
     content_type: str
     extra_variables: tuple[tuple[str, str], ...] = ()
     identity_parts: tuple[str, ...] = ()
-    earlier_identity_parts: tuple[str, ...] = ()
+    legacy_identity_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/shelfhaven/server/request_key.py
+++ b/shelfhaven/server/request_key.py
@@ -69,11 +69,11 @@
     return RequestContent(body if submission.body_known else None, location)
 
 
-def earlier_request_content(submission: messages.SubmitRequest) -> RequestContent:
+def legacy_request_content(submission: messages.SubmitRequest) -> RequestContent:
     """Return the digests of a submission's content as records of earlier versions have them."""
     location = None
     if submission.attributes:
-        location = _location_digest(submission.attributes.earlier_identity_parts)
+        location = _location_digest(submission.attributes.legacy_identity_parts)
     return request_content(submission)._replace(location=location)
 
 
@@ -96,9 +96,9 @@
     )
 
 
-def earlier_content_digest(submission: messages.SubmitRequest) -> bytes:
+def legacy_content_digest(submission: messages.SubmitRequest) -> bytes:
     """Return one digest of the content, as versions that did not keep the location apart recorded it."""
-    parts = submission.attributes.earlier_identity_parts if submission.attributes else ()
+    parts = submission.attributes.legacy_identity_parts if submission.attributes else ()
     return _content_digest(submission.body, parts)
 
 
--- a/shelfhaven/state/actor.py
+++ b/shelfhaven/state/actor.py
@@ -198,10 +198,10 @@
         return self.disk.accepts_work(boottime())
 
     def find_previous(
-        self, key_digest: bytes, earlier_digests: Sequence[bytes], key_ttl: float
+        self, key_digest: bytes, legacy_digests: Sequence[bytes], key_ttl: float
     ) -> list[messages.PreviousKey]:
         """Return the unexpired keys of runs of this request that an earlier incarnation may have started."""
-        return self.previous.find(boottime(), key_digest, earlier_digests, key_ttl)
+        return self.previous.find(boottime(), key_digest, legacy_digests, key_ttl)
 
     def record_intent(self, request_id: int, key: messages.DurableKey) -> None:
         """Record that a keyed run is about to begin; `IntentRecorded` then tells whether it may."""
--- a/shelfhaven/state/previous_incarnation.py
+++ b/shelfhaven/state/previous_incarnation.py
@@ -53,15 +53,15 @@
         self.uncertain_until = uncertain_until
 
     def find(
-        self, now: float, digest: bytes, earlier_digests: Sequence[bytes], key_ttl: float
+        self, now: float, digest: bytes, legacy_digests: Sequence[bytes], key_ttl: float
     ) -> list[PreviousKey]:
         """Return the unexpired keys that have run, or may have, and may be of the request with this digest.
 
-        `earlier_digests` are the digests of the request in records of earlier versions.  There are several
+        `legacy_digests` are the digests of the request in records of earlier versions.  There are several
         keys if they differ in a location that the request does not convey.  A key that is only uncertain
         would have run before the start, so it counts for at most its TTL.
         """
-        digests = (digest, *earlier_digests)
+        digests = (digest, *legacy_digests)
         found = {index: wanted for wanted in digests for index in self._matches(wanted)}
         recorded = [
             PreviousKey(self.expiries[index] - now, self._digest_at(index, wanted))
--- a/tests/frontends/test_fair_turns.py
+++ b/tests/frontends/test_fair_semaphore.py
@@ -4,14 +4,14 @@
 
 import asyncio
 
-from shelfhaven.frontends.fair_turns import FairTurns
+from shelfhaven.frontends.fair_semaphore import FairSemaphore
 from tests.peers import run_async
 
 
 def test_a_connection_with_many_waiting_tasks_is_served_in_turn_with_the_others() -> None:
     # guards against verdicts that wait behind all messages of a client that floods
     async def check() -> None:
-        turns = FairTurns(1)
+        turns = FairSemaphore(1)
         served: list[str] = []
 
         async def take(connection: str) -> None:
@@ -29,7 +29,7 @@
 
 def test_a_turn_is_not_lost_with_a_task_that_is_cancelled_before_or_just_after_it_gets_one() -> None:
     async def check() -> None:
-        turns = FairTurns(1)
+        turns = FairSemaphore(1)
         await turns.acquire("a")
         before, after, last = (asyncio.ensure_future(turns.acquire("b")) for _ in range(3))
         await asyncio.sleep(0)
--- a/tests/frontends/test_subrequest_connections.py
+++ b/tests/frontends/test_subrequest_connections.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 
@@ -253,25 +254,30 @@
     run_async(check)
 
 
+async def expect_internal_error(listener: SubrequestListener, address: Address, event: str) -> None:
+    """Send a request whose handling fails: its answer says so, and its connection ends."""
+    with patch.object(listener.log, "event") as logged:
+        reader, writer = await connect(address)
+        writer.write(REQUEST)
+        reply = await read_reply(reader)
+        assert (reply.status, reply.body) == (500, b"an error in this server\n")
+        assert not reply.not_run, "it may have failed after the core's answer"
+        assert await read_end(reader) == b""
+        await until(lambda: not listener.has_connections())
+    assert event in [call.args[0] for call in logged.call_args_list]
+
+
 def test_a_request_whose_handling_fails_gets_an_error_and_its_connection_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def check() -> None:
         async with subrequest_listener() as (_, listener, address):
-            events: list[str] = []
-            monkeypatch.setattr(listener.log, "event", lambda event, **_: events.append(event))
 
             async def fail(_: object) -> None:
                 raise ValueError("a fault of the program")
 
             monkeypatch.setattr(listener, "_consult", fail)
-            reader, writer = await connect(address)
-            writer.write(REQUEST)
-            reply = await read_reply(reader)
-            assert (reply.status, reply.not_run) == (500, False), "it may have failed after the core's answer"
-            assert await read_end(reader) == b""
-            assert "proxy_failed" in events
-            await until(lambda: not listener.has_connections())
+            await expect_internal_error(listener, address, "proxy_failed")
 
     run_async(check)
 
@@ -294,17 +300,8 @@
 ) -> None:
     async def check() -> None:
         async with subrequest_listener() as (_, listener, address):
-            events: list[str] = []
-            monkeypatch.setattr(listener.log, "event", lambda event, **_: events.append(event))
             monkeypatch.setattr(_RequestReader, "headers_received", failing)
-            reader, writer = await connect(address)
-            writer.write(REQUEST)
-            reply = await read_reply(reader)
-            assert (reply.status, reply.not_run) == (500, False)
-            assert reply.body == b"an error in this server\n"
-            assert await read_end(reader) == b""
-            assert "connection_failed" in events
-            await until(lambda: not listener.has_connections())
+            await expect_internal_error(listener, address, "connection_failed")
 
     run_async(check)
 
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from shelfhaven.frontends.connection import ConnectionState
+from shelfhaven.frontends.jsonrpc import RouterConnection
 from shelfhaven.lab.backend_stub import StubMode
 from shelfhaven.lab.callers import connect, read_reply, until, variables
 from shelfhaven.protocol import uwsgi
@@ -183,6 +185,35 @@
     run_async(check)
 
 
+def states(node: FrontendNode) -> set[ConnectionState]:
+    """Return the states of the connections of routers."""
+    connections = (item for listener in node.app.listeners for item in listener.connections)
+    return {item.state for item in connections if isinstance(item, RouterConnection)}
+
+
+def test_an_unexpected_error_costs_a_router_no_answer_that_is_owed(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards against a request that is noted and never answered, on a connection that stays
+    async def check() -> None:
+        async with running_node() as node:
+            router = await node.connect_router()
+            node.backends[0].release.clear()
+            node.send_topup(router, 1, "k")
+            await until(lambda: node.runs)
+
+            def fail(*_: object) -> None:
+                raise ValueError("a fault of the program")
+
+            with monkeypatch.context() as patched:
+                patched.setattr(RouterConnection, "_build_submission", fail)
+                node.send_topup(router, 2, "l")
+                await until(lambda: states(node) == {ConnectionState.UNREADABLE})
+            node.backends[0].release.set()
+            assert result_body(await router.answer(1)) == b"made for five"
+            await until(lambda: not states(node))
+
+    run_async(check)
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
--- a/tests/routing/test_request_mapping.py
+++ b/tests/routing/test_request_mapping.py
@@ -62,7 +62,7 @@
     assert (mapped.tenant, mapped.idempotency_key, mapped.budget) == (0, "", 0.0)
     assert (mapped.is_retry, mapped.priority, mapped.partition_key) == (False, 0.0, 0)
     assert mapped.caller == hash_name("peer 10.0.0.1")
-    assert mapped.earlier_identity_parts == ("234", "")
+    assert mapped.legacy_identity_parts == ("234", "")
     assert mapped.identity_parts == (), "no part of a URL is part of the identity unless it is named"
 
 
--- a/tests/server/test_core_durability.py
+++ b/tests/server/test_core_durability.py
@@ -15,7 +15,7 @@
     NAME_DIGEST_BYTES,
     UNKNOWN_LOCATION,
     NamedKey,
-    earlier_digests,
+    legacy_digests,
 )
 from tests.server.core_harness import LOOK, PAY, CoreHarness, with_harness
 
@@ -40,13 +40,13 @@
         self.confirms_outcomes = True
 
     def find_previous(
-        self, key_digest: bytes, earlier_digests: Sequence[bytes], key_ttl: float
+        self, key_digest: bytes, legacy_digests: Sequence[bytes], key_ttl: float
     ) -> list[messages.PreviousKey]:
         name, location = key_digest[:NAME_DIGEST_BYTES], key_digest[NAME_DIGEST_BYTES:]
         found = [
             messages.PreviousKey(valid_for, digest)
             for digest, valid_for in self.previous.items()
-            if digest in (key_digest, *earlier_digests)
+            if digest in (key_digest, *legacy_digests)
             or (digest.startswith(name) and UNKNOWN_LOCATION in (location, digest[NAME_DIGEST_BYTES:]))
         ]
         if found:
@@ -240,14 +240,14 @@
             query,
             "",
             identity_parts=(query,) if identity_parts else (),
-            earlier_identity_parts=("", query),
+            legacy_identity_parts=("", query),
         )
         for query in ("channel=ussd", "channel=app")
     ]
     submission = harness.submission(1, PAY, "k", attributes=attributes[0])
     config = harness.core.config
     named = NamedKey(config.classes[PAY], config.tenants[0] if config.tenants else "", "k")
-    with_location, without_location = earlier_digests(named, submission)
+    with_location, without_location = legacy_digests(named, submission)
     store.previous[with_location if is_kept_apart else without_location] = 5.0
     harness.submit(1, PAY, "k", attributes=attributes[0])
     assert not store.intents, "it is a repeat of the run on record"
